--- a/src/placement/board.h
+++ b/src/placement/board.h
@@ -42,6 +42,8 @@
     double helperBacklogMs = 0;
     /** Milliseconds until its own prompts are read too. */
     double backlogMs = 0;
+    /** Tokens of the longest prompt that waits or is read there. */
+    double longestReadTokens = 0;
 };
 
 class Board
--- a/src/placement/chooseengines.h
+++ b/src/placement/chooseengines.h
@@ -39,8 +39,8 @@
     double readStretch = 1.1;
     /** Engines that one prompt may be read by; the published limit of helpers is 16. */
     std::size_t mostEngines = 16;
-    /** A request that could still be on time elsewhere or later is refused where it is predicted beyond this share. */
-    double refuseShare = 1.25;
+    /** What a request that was refused before loses by a second refusal, as a share of its worth. */
+    double returningWorth = 0.5;
     /** Mean backlog of the engines at which their time has its full price. */
     double crowdedMs = 2500;
 };
--- a/src/placement/internal/board.cpp
+++ b/src/placement/internal/board.cpp
@@ -191,6 +191,7 @@
         double backlog = 0;
         for (const Read &read : queue.reads) {
             backlog += read.leftMs;
+            load.longestReadTokens = std::max(load.longestReadTokens, m_entries.at(read.id).placement.promptTokens);
             if (read.isHelper) {
                 load.helperBacklogMs = backlog;
                 continue;
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -132,7 +132,9 @@
 {
     const double pass = passMs(it);
     // On the mean, half a pass is under way when the request arrives, and the first event closes one of its own.
-    const double wait = it.load->writers.empty() ? 0 : pass / 2;
+    // A pass with writers reads on to its end, whatever arrives meanwhile.
+    const double inPass = std::min(it.load->backlogMs, readMsInPass(engine, it.load->longestReadTokens));
+    const double wait = it.load->writers.empty() ? 0 : (isHelper ? pass + inPass : pass) / 2;
     const double backlog = isHelper ? it.load->helperBacklogMs : it.load->backlogMs;
     double ms
         = wait + backlog + part * it.candidate->pace + pass + 2.0 * static_cast<double>(it.candidate->delay.count());
@@ -280,11 +282,9 @@
     if (best.firstMs >= static_cast<double>(work.timeLeft.count())) {
         return refusal(Verdict::TooLate, choice, best.firstMs);
     }
-    const double target = static_cast<double>(work.targetLeft.count());
-    const bool isLate = best.firstMs > target * parameters.refuseShare;
-    const bool isTooDear = choice.wholeReadMs > parameters.longReadMs
-        && best.cost + choice.timePrice() * choice.wholeReadMs > choice.worth;
-    if (!work.isLateAnyway && (isLate || isTooDear)) {
+    // Engine time is worth what the requests are that come next.
+    const double gain = work.isLateAnyway ? parameters.returningWorth * choice.worth : choice.worth;
+    if (best.cost + choice.timePrice() * choice.wholeReadMs > gain) {
         return refusal(Verdict::Crowded, choice, best.firstMs);
     }
     Decision made;
