--- a/src/placement/board.h
+++ b/src/placement/board.h
@@ -28,6 +28,8 @@
         double worth = 0;
         /** How much later it may be read and still be on time; negative where it is late already. */
         double slackMs = 0;
+        /** Longest pause between its events, once it writes. */
+        Milliseconds gapTarget{0};
     };
 
     /** Requests whose answer it gives, reading or writing. */
--- a/src/placement/internal/board.cpp
+++ b/src/placement/internal/board.cpp
@@ -198,7 +198,7 @@
             }
             const Placement &it = m_entries.at(read.id).placement;
             const double due = toMs(it.placedAt + it.target - now);
-            load.pendingReads.push_back({worthOf(it.promptTokens, it.outputTokens), due - backlog});
+            load.pendingReads.push_back({worthOf(it.promptTokens, it.outputTokens), due - backlog, it.gapTarget});
         }
         load.backlogMs = backlog;
     }
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -19,6 +19,8 @@
 constexpr std::array<std::size_t, 11> groupSizes{1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16};
 /** Memory that is kept free on an engine, as a share, for answers that grow longer than estimated. */
 constexpr double memoryReserve = 0.05;
+/** A predicted pause above this share of the target may turn out longer than the target. */
+constexpr double pauseShare = 0.9;
 /** Coming back sooner than this gains nothing. */
 constexpr Milliseconds shortestReturn{200};
 
@@ -67,23 +69,28 @@
     [[nodiscard]] bool canHold(const Engine &it, double tokens) const;
 };
 
-/** What others lose: streams that are written there by the pause, and prompts that the part is read before. */
+/**
+ * What others lose: streams that are written there, or will be when this prompt is read, by the pause that it makes,
+ * and prompts that a part is read before.
+ */
 double Choice::harm(const Engine &it, double part, bool isHelper) const
 {
+    const double most = readMsInPass(engine, work.promptTokens);
+    const double pass = passMs(it);
     double lost = 0;
-    if (isHelper) {
-        for (const UpstreamLoad::PendingRead &read : it.load->pendingReads) {
-            lost += read.slackMs >= 0 && read.slackMs < part ? read.worth * parameters.lateLoss : 0;
+    for (const UpstreamLoad::PendingRead &read : it.load->pendingReads) {
+        const double gap = static_cast<double>(read.gapTarget.count());
+        if (isHelper) {
+            // The less slack is left, the likelier the part is what makes it late.
+            lost += read.slackMs > 0 ? read.worth * parameters.lateLoss * std::min(1.0, part / read.slackMs) : 0;
+        } else if (gap > 0 && pass + std::min(part, most) * it.candidate->pace > gap * pauseShare) {
+            lost += read.worth * parameters.lateLoss;
         }
     }
-    if (it.load->writers.empty()) {
-        return lost;
-    }
-    const double most = readMsInPass(engine, work.promptTokens);
-    const double pause = passMs(it) + std::min(it.load->backlogMs + part, most) * it.candidate->pace;
+    const double pause = pass + std::min(it.load->backlogMs + part, most) * it.candidate->pace;
     for (const UpstreamLoad::Writer &writer : it.load->writers) {
-        const double target = static_cast<double>(writer.gapTarget.count());
-        if (target > 0 && pause > target * 0.9) {
+        const double gap = static_cast<double>(writer.gapTarget.count());
+        if (gap > 0 && pause > gap * pauseShare) {
             lost += writer.worth * parameters.lateLoss;
         }
     }
@@ -169,9 +176,8 @@
 {
     const double late = choice.lateness(choice.firstEventMs(it, part, isHelper)) * choice.worth;
     // Where several would be on time, the one that is free soonest is still the better one.
-    const double backlog = isHelper ? it.load->helperBacklogMs : it.load->backlogMs;
-    const double wait = backlog / std::max<double>(1, static_cast<double>(choice.work.targetLeft.count()));
-    constexpr double waitCost = 0.05;
+    const double wait = it.load->backlogMs / std::max<double>(1, static_cast<double>(choice.work.targetLeft.count()));
+    constexpr double waitCost = 0.1;
     return choice.harm(it, part, isHelper) + late + choice.orderCost(it, part) + waitCost * choice.worth * wait;
 }
 
