Tests of the new modules; loop, board and group choice mended by them

Found by the tests: the loop's end destroyed its handlers while they asked to be forgotten; a prompt beyond one engine's memory that is read quickly was refused; an engine whose first event is overdue was taken to read the next prompt already.

--- a/src/framework/eventloop/internal/eventloop.cpp
+++ b/src/framework/eventloop/internal/eventloop.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <ctime>
 #include <stdexcept>
+#include <utility>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -43,6 +44,10 @@
 
 EventLoop::~EventLoop()
 {
+    // What is let go of here may ask the loop to forget it.
+    const auto watched = std::exchange(m_watched, {});
+    const auto tasks = std::exchange(m_tasks, {});
+    const auto deferred = std::exchange(m_deferred, {});
     ::close(m_epoll);
 }
 
@@ -114,6 +119,7 @@
 
 void EventLoop::run()
 {
+    m_isStopping = false;
     while (!m_isStopping) {
         m_now = readClock();
         runTimers();
--- /dev/null
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -0,0 +1,91 @@
+// Reading of requests and sending of scripted bytes.
+#include "scriptedupstream.h"
+
+#include "framework/httpwire/messagereader.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+namespace magnolia::gateway::tests
+{
+
+ScriptedUpstream::Connection::Connection(ScriptedUpstream &upstream)
+    : m_upstream(upstream)
+{
+}
+
+void ScriptedUpstream::Connection::send(const std::string &bytes)
+{
+    stream->write(bytes);
+}
+
+void ScriptedUpstream::Connection::close()
+{
+    stream->shutdownOutput();
+}
+
+void ScriptedUpstream::Connection::reset()
+{
+    stream->reset();
+}
+
+void ScriptedUpstream::Connection::onInput()
+{
+    const std::string &input = stream->input();
+    const std::size_t headEnd = input.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+        return;
+    }
+    std::string copy = input;
+    httpwire::RequestHead head;
+    if (httpwire::readRequestHead(copy, input.size(), head) != httpwire::ReadState::Complete) {
+        return;
+    }
+    const std::uint64_t length = httpwire::requestBody(head)->announcedLength();
+    if (copy.size() < length) {
+        return;
+    }
+    const std::string request = input.substr(0, headEnd + 4 + length);
+    stream->input().erase(0, request.size());
+    m_upstream.requests.push_back(request);
+    m_upstream.m_script(*this, request, static_cast<int>(m_upstream.requests.size()) - 1);
+}
+
+void ScriptedUpstream::Connection::onEnd(eventloop::StreamEnd /*end*/)
+{
+    ++m_upstream.ended;
+    stream->close();
+}
+
+ScriptedUpstream::ScriptedUpstream(eventloop::EventLoop &loop, Script script)
+    : m_loop(loop)
+    , m_script(std::move(script))
+{
+}
+
+void ScriptedUpstream::listen()
+{
+    m_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+    m_socket.listen();
+    m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
+}
+
+void ScriptedUpstream::stopListening()
+{
+    m_loop.remove(m_socket.impl()->sockfd());
+    m_socket.close();
+}
+
+std::string ScriptedUpstream::address() const
+{
+    return m_socket.address().toString();
+}
+
+void ScriptedUpstream::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
+{
+    const auto connection = std::make_shared<Connection>(*this);
+    connection->stream = eventloop::TcpStream::adopt(m_loop, m_socket.acceptConnection(), *connection, {});
+    m_open.push_back(connection);
+    ++connections;
+}
+
+} // namespace magnolia::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/scriptedupstream.h
@@ -0,0 +1,65 @@
+// An upstream that answers each request as its script says.
+#pragma once
+
+#include "framework/eventloop/eventloop.h"
+#include "framework/eventloop/ireadiness.h"
+#include "framework/eventloop/itcpstreamuser.h"
+#include "framework/eventloop/tcpstream.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnolia::gateway::tests
+{
+
+class ScriptedUpstream : public eventloop::IReadiness, public std::enable_shared_from_this<ScriptedUpstream>
+{
+public:
+    /** One connection, for the script to answer on. */
+    class Connection : public eventloop::ITcpStreamUser, public std::enable_shared_from_this<Connection>
+    {
+    public:
+        explicit Connection(ScriptedUpstream &upstream);
+
+        void send(const std::string &bytes);
+        void close();
+        void reset();
+
+        void onInput() override;
+        void onEnd(eventloop::StreamEnd end) override;
+
+        std::shared_ptr<eventloop::TcpStream> stream;
+
+    private:
+        ScriptedUpstream &m_upstream;
+    };
+
+    /** Called for each request that has come whole; `number` counts them from 0. */
+    using Script = std::function<void(Connection &connection, const std::string &request, int number)>;
+
+    ScriptedUpstream(eventloop::EventLoop &loop, Script script);
+
+    void listen();
+    void stopListening();
+    [[nodiscard]] std::string address() const;
+
+    void onReady(bool isReadable, bool isWritable, bool isBroken) override;
+
+    /** Requests as they came, heads and bodies. */
+    std::vector<std::string> requests;
+    int connections = 0;
+    /** Connections that the other side has ended. */
+    int ended = 0;
+
+private:
+    eventloop::EventLoop &m_loop;
+    Script m_script;
+    Poco::Net::ServerSocket m_socket;
+    std::vector<std::shared_ptr<Connection>> m_open;
+};
+
+} // namespace magnolia::gateway::tests
--- a/src/placement/internal/board.cpp
+++ b/src/placement/internal/board.cpp
@@ -91,7 +91,8 @@
         const double least = it.isHelper ? 0 : whole * overdueShare;
         const double done = std::min(elapsed, std::max(0.0, it.leftMs - least));
         it.leftMs -= done;
-        elapsed -= done;
+        // While a prompt's first event is missing, the engine has not gone on to the next.
+        elapsed = it.isHelper ? elapsed - done : 0;
     }
     std::erase_if(queue.reads, [](const Read &it) {
         return it.isHelper && it.leftMs <= 0;
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -65,6 +65,7 @@
     [[nodiscard]] double lateness(double firstMs) const;
     [[nodiscard]] double firstEventMs(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] double timePrice() const;
+    [[nodiscard]] bool isHeldByOne() const;
     [[nodiscard]] double orderCost(const Engine &it, double part) const;
     [[nodiscard]] bool canHold(const Engine &it, double tokens) const;
 };
@@ -172,6 +173,12 @@
     return engine.memoryTokens <= 0 || it.load->memoryTokens + tokens <= engine.memoryTokens * (1 - memoryReserve);
 }
 
+bool Choice::isHeldByOne() const
+{
+    return engine.memoryTokens <= 0
+        || work.promptTokens + work.outputTokens <= engine.memoryTokens * (1 - memoryReserve);
+}
+
 /** Cost of one member of a group, its part in the order included. */
 double memberCost(const Choice &choice, const Engine &it, double part, bool isHelper)
 {
@@ -187,8 +194,7 @@
 {
     const double part = choice.partMs(parts);
     const double need = choice.work.promptTokens + choice.work.outputTokens;
-    const bool isSplitMemory
-        = choice.engine.memoryTokens > 0 && need > choice.engine.memoryTokens * (1 - memoryReserve);
+    const bool isSplitMemory = !choice.isHeldByOne();
     const double share = isSplitMemory ? std::ceil(need / static_cast<double>(parts)) : 0;
     struct Ranked
     {
@@ -275,8 +281,8 @@
         if (parts > choice.engines.size() || parts > parameters.mostEngines) {
             break;
         }
-        // A short read gains nothing by more engines.
-        if (parts > 1 && choice.partMs(parts - 1) < parameters.longReadMs / 2) {
+        // A short read gains nothing by more engines, unless one cannot hold it.
+        if (parts > 1 && choice.isHeldByOne() && choice.partMs(parts - 1) < parameters.longReadMs / 2) {
             break;
         }
         if (auto plan = planGroup(choice, parts); plan && plan->cost < best.cost) {
