--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -293,6 +293,7 @@
         return;
     }
     flushBatch();
+    m_table.prune(m_loop.now());
     tellAll();
     const MonoTime now = m_loop.now();
     for (const auto &[name, peer] : m_table.peers()) {
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -63,6 +63,16 @@
     return Heard::Known;
 }
 
+void PeerTable::prune(MonoTime now)
+{
+    std::erase_if(m_peers, [&](const auto &it) {
+        return now - it.second.heardAt >= m_parameters.forgetAfter;
+    });
+    std::erase_if(m_told, [&](const auto &it) {
+        return now - it.second >= m_parameters.forgetAfter;
+    });
+}
+
 std::vector<PeerAddress> PeerTable::targets(MonoTime now) const
 {
     std::set<PeerAddress> found(m_seeds.begin(), m_seeds.end());
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -59,6 +59,10 @@
 
     Heard hear(const PeerMessage &message, MonoTime now);
 
+    /** Forgets peers and addresses that were not heard of for long, so that the table does not grow with replaced ones.
+     */
+    void prune(MonoTime now);
+
     /** Everyone to write to: known peers, addresses that peers told of, and seeds. */
     [[nodiscard]] std::vector<PeerAddress> targets(MonoTime now) const;
     /** Time between two whole messages. */
--- a/src/fleet/tests/peertabletests.cpp
+++ b/src/fleet/tests/peertabletests.cpp
@@ -103,6 +103,20 @@
     CHECK(table.callerAddresses(start + Milliseconds(61'000)).empty());
 }
 
+TEST_CASE("replaced peers are forgotten, so that new ones always find room")
+{
+    PeerTableParameters parameters;
+    parameters.mostPeers = 4;
+    PeerTable table("1", {"10.0.0.1", 7000}, {}, parameters);
+    MonoTime now = start;
+    for (int i = 2; i < 40; ++i) {
+        now += Milliseconds(20'000);
+        table.prune(now);
+        CHECK(table.hear(makeMessage(std::to_string(i), 1), now) == PeerTable::Heard::New);
+        CHECK(table.peers().size() <= 4);
+    }
+}
+
 TEST_CASE("the pace falls with the number of peers")
 {
     PeerTable table = makeTable();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -180,6 +180,9 @@
             {{"known", std::uint64_t{context.upstreams.size()}}, {"leaving", std::int64_t{leaving}},
                 {"revision", state.revision()}});
     }
+    if (effect.isConfigurationNew || effect.areUpstreamsNew) {
+        forgetUnpublished(context);
+    }
     const bool isReadyNow = isReady();
     if (isReadyNow != wasReady) {
         logging::write(logging::Level::Info, "gateway", isReadyNow ? "ready" : "not_ready", {});
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -4,6 +4,7 @@
 #include "placement/enginecost.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace magnolia::gateway
 {
@@ -74,6 +75,38 @@
     return count == 0 ? 0 : sum / count;
 }
 
+void forgetUnpublished(GatewayContext &context)
+{
+    const auto isKnown = [&context](std::uint64_t upstream) {
+        return context.upstreams.find(upstream) != nullptr;
+    };
+    context.outliers.retain(isKnown);
+    std::erase_if(context.unseen, [&](const auto &it) {
+        return !isKnown(it.first);
+    });
+    if (!context.catalogue) {
+        return;
+    }
+    std::unordered_set<std::string> routes;
+    for (const auto &[host, list] : context.catalogue->routesByHost) {
+        for (const catalogue::Route &route : list) {
+            routes.insert(route.name);
+        }
+    }
+    std::erase_if(context.callerTimes, [&](const auto &it) {
+        return !routes.contains(it.first);
+    });
+    const auto isService = [&context](const auto &it) {
+        return context.catalogue->services.contains(it.first);
+    };
+    std::erase_if(context.retryBudgets, [&](const auto &it) {
+        return !isService(it);
+    });
+    std::erase_if(context.serviceMs, [&](const auto &it) {
+        return !isService(it);
+    });
+}
+
 int unseenRequests(const GatewayContext &context, placement::UpstreamKey upstream)
 {
     const auto it = context.unseen.find(upstream);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -68,6 +68,9 @@
 /** Requests at an upstream that no instance told of, as after a restart of all; the word of an upstream ages. */
 [[nodiscard]] int unseenRequests(const GatewayContext &context, placement::UpstreamKey upstream);
 
+/** Forgets what was noted of upstreams and routes that are no longer published. */
+void forgetUnpublished(GatewayContext &context);
+
 /** Notes what an attempt showed of an upstream. */
 void recordEvidence(GatewayContext &context, placement::UpstreamKey upstream, outliers::Evidence evidence);
 
--- a/src/outliers/internal/outliertable.cpp
+++ b/src/outliers/internal/outliertable.cpp
@@ -85,9 +85,11 @@
     record.pace += paceWeight * (std::clamp(ratio, 1.0, slowestPace) - record.pace);
 }
 
-void OutlierTable::forget(std::uint64_t upstream)
+void OutlierTable::retain(const std::function<bool(std::uint64_t upstream)> &isKnown)
 {
-    m_records.erase(upstream);
+    std::erase_if(m_records, [&](const auto &it) {
+        return !isKnown(it.first);
+    });
 }
 
 bool OutlierTable::isExcluded(std::uint64_t upstream, MonoTime now) const
--- a/src/outliers/outliertable.h
+++ b/src/outliers/outliertable.h
@@ -8,6 +8,7 @@
 #include "outliers/types/evidence.h"
 
 #include <cstdint>
+#include <functional>
 #include <unordered_map>
 
 namespace magnolia::outliers
@@ -38,7 +39,8 @@
     void record(std::uint64_t upstream, Evidence evidence, double fellowsShare, MonoTime now);
     /** A measured time as a multiple of the predicted one. */
     void recordPace(std::uint64_t upstream, double ratio);
-    void forget(std::uint64_t upstream);
+    /** Forgets all upstreams that `isKnown` does not know. */
+    void retain(const std::function<bool(std::uint64_t upstream)> &isKnown);
 
     [[nodiscard]] bool isExcluded(std::uint64_t upstream, MonoTime now) const;
     /** The exclusion has ended, but no success has been seen since. */
--- a/src/outliers/tests/outliertabletests.cpp
+++ b/src/outliers/tests/outliertabletests.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+TEST_CASE("upstreams that are gone are forgotten")
+{
+    OutlierTable table;
+    table.record(1, Evidence::Unreachable, 0, at(0));
+    table.record(2, Evidence::Unreachable, 0, at(0));
+    table.retain([](std::uint64_t upstream) {
+        return upstream == 2;
+    });
+    CHECK_FALSE(table.isExcluded(1, at(1)));
+    CHECK(table.isExcluded(2, at(1)));
+}
+
 TEST_CASE("refusals of a full upstream are no failures")
 {
     OutlierTable table;
