Fault soak: real gateway processes under seeded series of faults

tests/soak plays store, upstreams, links and callers around gateway processes and judges from both sides: whole answers to the right caller, at most once, truthful refusals, drain, no cut by a planned stop, configuration in force and never back, memory given back, served again after all were killed. Two short seeds run as tests, without bounds in time.

--- a/tests/sessions/childprocess.cpp
+++ b/tests/sessions/childprocess.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(
-    const std::string &program, const std::vector<std::string> &args, std::filesystem::path errorLog)
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &args,
+    std::filesystem::path errorLog, const std::filesystem::path &outputLog)
     : m_errorLog(std::move(errorLog))
 {
     std::vector<char *> argv = makeArgv(program, args);
@@ -41,6 +41,10 @@
         throw std::runtime_error("no pipe for a child process");
     }
     const int errorFd = open(m_errorLog.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+    if (!outputLog.empty()) {
+        close(output[1]);
+        output[1] = open(outputLog.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+    }
     m_pid = fork();
     if (m_pid == 0) {
         // Only async-signal-safe calls between fork and exec.
--- a/tests/sessions/childprocess.h
+++ b/tests/sessions/childprocess.h
@@ -13,8 +13,12 @@
 class ChildProcess
 {
 public:
-    /** Starts `program` with `args`; its standard error goes to the file at `errorLog`. */
-    ChildProcess(const std::string &program, const std::vector<std::string> &args, std::filesystem::path errorLog);
+    /**
+     * Starts `program` with `args`; its standard error goes to the file at `errorLog`, its standard output to the file
+     * at `outputLog`, or where that is empty to `readLine`.
+     */
+    ChildProcess(const std::string &program, const std::vector<std::string> &args, std::filesystem::path errorLog,
+        const std::filesystem::path &outputLog = {});
     /** Kills the process where it still runs. */
     ~ChildProcess();
 
--- /dev/null
+++ b/tests/soak/gatewayprocess.cpp
@@ -0,0 +1,94 @@
+// Settings files and signals of the processes under test.
+#include "gatewayprocess.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+namespace magnolia::soak
+{
+
+namespace
+{
+
+constexpr int readinessOffset = 1;
+constexpr int directoryOffset = 2;
+constexpr int peerOffset = 3;
+constexpr int metricsOffset = 4;
+
+} // namespace
+
+GatewayProcess::GatewayProcess(Options options)
+    : m_options(std::move(options))
+{
+    writeSettings();
+}
+
+void GatewayProcess::writeSettings() const
+{
+    nlohmann::json seeds = nlohmann::json::array();
+    for (const std::string &ip : m_options.seedIps) {
+        seeds.push_back(ip + ":1");
+    }
+    const nlohmann::json settings{{"NodeName", m_options.name}, {"Zone", m_options.zone}, {"Region", "r"},
+        {"Ip", m_options.ip},
+        {"Listen", {{"Front", callerAddress()}, {"Readiness", readinessAddress()}, {"Directory", directoryAddress()}}},
+        {"InternalPortRange", {m_options.firstPort + peerOffset, m_options.firstPort + peerOffset}}, {"Seeds", seeds},
+        {"Limits", {{"MaxFds", 4000}}},
+        {"Bounds", {{"GraceS", 8}, {"RetryBudgetRatio", 0.2}, {"BudgetSlack", 100}, {"HoldMaxMs", 20'000}}},
+        {"Platform", {{"Address", m_options.storeAddress}}}};
+    std::ofstream(m_options.folder / (m_options.name + ".json")) << settings;
+}
+
+void GatewayProcess::start()
+{
+    ++m_starts;
+    isPaused = false;
+    isStopping = false;
+    m_process = std::make_unique<sessions::ChildProcess>(m_options.binary,
+        std::vector<std::string>{"platform", "--settings", m_options.folder / (m_options.name + ".json"),
+            "--metrics-port", std::to_string(m_options.firstPort + metricsOffset)},
+        m_options.folder / (m_options.name + ".err"), m_options.folder / (m_options.name + ".log"));
+}
+
+void GatewayProcess::sendSignal(int signal)
+{
+    m_process->sendSignal(signal);
+}
+
+bool GatewayProcess::isRunning()
+{
+    return m_process && m_process->isRunning();
+}
+
+std::string GatewayProcess::processName() const
+{
+    return m_options.name + '#' + std::to_string(m_starts);
+}
+
+std::string GatewayProcess::addressOf(int offset) const
+{
+    return m_options.ip + ':' + std::to_string(m_options.firstPort + offset);
+}
+
+std::string GatewayProcess::callerAddress() const
+{
+    return addressOf(0);
+}
+
+std::string GatewayProcess::readinessAddress() const
+{
+    return addressOf(readinessOffset);
+}
+
+std::string GatewayProcess::directoryAddress() const
+{
+    return addressOf(directoryOffset);
+}
+
+std::string GatewayProcess::metricsAddress() const
+{
+    return addressOf(metricsOffset);
+}
+
+} // namespace magnolia::soak
--- /dev/null
+++ b/tests/soak/httpserving.h
@@ -0,0 +1,83 @@
+// Accepts connections and hands over whole requests, for the parties that the soak plays itself.
+#pragma once
+
+#include "framework/eventloop/eventloop.h"
+#include "framework/eventloop/ireadiness.h"
+#include "framework/eventloop/tcpstream.h"
+#include "framework/httpwire/bodydecoder.h"
+#include "framework/httpwire/types/messagehead.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnolia::soak
+{
+
+class HttpListener;
+
+struct Request
+{
+    httpwire::RequestHead head;
+    std::string body;
+};
+
+/** One connection; requests come one after the other, each after the last was finished. */
+class ServedConnection : public eventloop::ITcpStreamUser, public std::enable_shared_from_this<ServedConnection>
+{
+public:
+    explicit ServedConnection(std::weak_ptr<HttpListener> listener);
+
+    void send(std::string_view bytes);
+    /** A whole answer with a length; the next request may come. */
+    void answer(int status, const std::vector<std::pair<std::string, std::string>> &fields, std::string_view body);
+    /** The answer was sent piece by piece and is whole. */
+    void finish();
+    void reset();
+    [[nodiscard]] bool isOpen() const;
+
+    void onInput() override;
+    void onEnd(eventloop::StreamEnd end) override;
+
+private:
+    friend class HttpListener;
+
+    std::weak_ptr<HttpListener> m_listener;
+    std::shared_ptr<eventloop::TcpStream> m_stream;
+    Request m_request;
+    httpwire::BodyDecoder m_body;
+    bool m_isHeadRead = false;
+    bool m_isAnswering = false;
+};
+
+class HttpListener : public eventloop::IReadiness, public std::enable_shared_from_this<HttpListener>
+{
+public:
+    using Handler = std::function<void(const std::shared_ptr<ServedConnection> &, const Request &)>;
+
+    HttpListener(eventloop::EventLoop &loop, Handler handler);
+
+    /** Port 0 takes a free one. */
+    void listen(const std::string &address);
+    /** Closes the port and resets all connections, as when a process dies. */
+    void die();
+    void resetAll();
+    [[nodiscard]] std::string address() const;
+    [[nodiscard]] bool isListening() const;
+
+    void onReady(bool isReadable, bool isWritable, bool isBroken) override;
+
+private:
+    friend class ServedConnection;
+
+    eventloop::EventLoop &m_loop;
+    Handler m_handler;
+    std::unique_ptr<Poco::Net::ServerSocket> m_socket;
+    std::string m_address;
+    std::vector<std::shared_ptr<ServedConnection>> m_connections;
+};
+
+} // namespace magnolia::soak
--- /dev/null
+++ b/tests/soak/soakstore.cpp
@@ -0,0 +1,196 @@
+// Reading calls of the store, and its troubles.
+#include "soakstore.h"
+
+#include <nlohmann/json.hpp>
+#include <Poco/Base64Encoder.h>
+#include <Poco/URI.h>
+
+#include <sstream>
+
+namespace magnolia::soak
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/** Small, so that a full read takes several pages. */
+constexpr std::size_t pageItems = 8;
+constexpr int historyLost = 410;
+
+std::string toBase64(const std::string &bytes)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return out.str();
+}
+
+std::string parameter(const Poco::URI &uri, const std::string &name)
+{
+    for (const auto &[key, value] : uri.getQueryParameters()) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+SoakStore::SoakStore(eventloop::EventLoop &loop, const std::string &address)
+    : m_loop(loop)
+    , m_listener(std::make_shared<HttpListener>(loop, [this](const auto &connection, const Request &request) {
+        serve(connection, request);
+    }))
+{
+    m_listener->listen(address);
+}
+
+void SoakStore::put(const std::string &key, const std::string &value)
+{
+    change({key, value, ++m_revision, false});
+}
+
+void SoakStore::remove(const std::string &key)
+{
+    if (m_items.contains(key)) {
+        change({key, {}, ++m_revision, true});
+    }
+}
+
+void SoakStore::change(const Change &change)
+{
+    if (change.isDeleted) {
+        m_items.erase(change.key);
+    } else {
+        m_items[change.key] = change;
+    }
+    m_history.push_back(change);
+    if (m_mode != Mode::Serving) {
+        return;
+    }
+    const auto watches = std::move(m_watches);
+    m_watches.clear();
+    for (const auto &it : watches) {
+        const auto connection = it->connection.lock();
+        if (connection && !serveWatch(*connection, it->after, false)) {
+            m_watches.push_back(it);
+        }
+    }
+}
+
+void SoakStore::setMode(Mode mode)
+{
+    m_mode = mode;
+    if (mode == Mode::Resetting) {
+        m_listener->resetAll();
+    }
+}
+
+void SoakStore::forgetHistory()
+{
+    m_history.clear();
+    m_historyFrom = m_revision;
+}
+
+SoakStore::Mode SoakStore::mode() const
+{
+    return m_mode;
+}
+
+std::string SoakStore::address() const
+{
+    return m_listener->address();
+}
+
+std::uint64_t SoakStore::calls() const
+{
+    return m_calls;
+}
+
+void SoakStore::serve(const std::shared_ptr<ServedConnection> &connection, const Request &request)
+{
+    ++m_calls;
+    if (m_mode == Mode::Busy) {
+        connection->answer(503, {}, {});
+        return;
+    }
+    if (m_mode == Mode::Resetting) {
+        connection->reset();
+        return;
+    }
+    if (m_mode == Mode::Silent) {
+        return;
+    }
+    const Poco::URI uri(request.head.target);
+    if (uri.getPath() == "/-/kv-range") {
+        serveRange(*connection, parameter(uri, "After"));
+        return;
+    }
+    if (uri.getPath() != "/-/kv-watch") {
+        connection->answer(404, {}, {});
+        return;
+    }
+    const std::uint64_t after = numberOf(parameter(uri, "After"));
+    if (serveWatch(*connection, after, false)) {
+        return;
+    }
+    const auto watch = std::make_shared<Watch>(Watch{connection, after});
+    m_watches.push_back(watch);
+    const Milliseconds wait(static_cast<std::int64_t>(numberOf(parameter(uri, "WaitMs"))));
+    m_loop.after(wait, [this, watch] {
+        const auto waiting = watch->connection.lock();
+        if (std::erase(m_watches, watch) > 0 && waiting) {
+            serveWatch(*waiting, watch->after, true);
+        }
+    });
+}
+
+void SoakStore::serveRange(ServedConnection &connection, const std::string &afterKey)
+{
+    Json items = Json::array();
+    auto it = m_items.upper_bound(afterKey);
+    for (; it != m_items.end() && items.size() < pageItems; ++it) {
+        items.push_back({{"Key", it->first}, {"Value", toBase64(it->second.value)}, {"Revision", it->second.revision},
+            {"Created", it->second.revision}, {"Lease", 0}});
+    }
+    const Json body{{"Items", items}, {"HasMore", it != m_items.end()}, {"At", m_revision}};
+    connection.answer(200, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+/** False where there is nothing to tell yet. */
+bool SoakStore::serveWatch(ServedConnection &connection, std::uint64_t after, bool mayBeEmpty)
+{
+    if (after < m_historyFrom) {
+        connection.answer(historyLost, {}, {});
+        return true;
+    }
+    Json events = Json::array();
+    for (const Change &it : m_history) {
+        if (it.revision <= after) {
+            continue;
+        }
+        if (it.isDeleted) {
+            events.push_back({{"Key", it.key}, {"Revision", it.revision}, {"Deleted", true}});
+        } else {
+            events.push_back({{"Key", it.key}, {"Value", toBase64(it.value)}, {"Revision", it.revision},
+                {"Created", it.revision}, {"Lease", 0}});
+        }
+    }
+    if (events.empty() && !mayBeEmpty) {
+        return false;
+    }
+    connection.answer(200, {{"Content-Type", "application/json"}}, Json{{"events", events}, {"At", m_revision}}.dump());
+    return true;
+}
+
+} // namespace magnolia::soak
