Fault soak: drains are judged while instances are in touch; callers wait as they are told

The check counts leavings that began 3 s or more after the last such trouble, a test for both sides beside it.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -12,6 +12,8 @@
 
 /** The published time after which a leaving upstream gets nothing, and the bench's allowance for the way. */
 constexpr Milliseconds drainBound{2000 + 1000};
+/** An instance is in touch with the store again this long after a trouble: the published contact time. */
+constexpr Milliseconds contactTime{3000};
 /** The published time in which a configuration is in force, and the same allowance. */
 constexpr Milliseconds applyBound{2000 + 1000};
 /** Attempts that the routes of the soak allow. */
@@ -61,10 +63,16 @@
     m_leavingSince.erase(upstream);
 }
 
+void Ledger::noteTrouble(MonoTime until)
+{
+    m_troubleUntil = std::max(m_troubleUntil, until + contactTime);
+}
+
 void Ledger::checkDrain(const std::string &id, const std::string &upstream, MonoTime now)
 {
     const auto since = m_leavingSince.find(upstream);
-    if (m_hasTimedChecks && since != m_leavingSince.end() && now - since->second > drainBound) {
+    const bool isInTouch = since != m_leavingSince.end() && since->second >= m_troubleUntil;
+    if (m_hasTimedChecks && isInTouch && now - since->second > drainBound) {
         add("drain", id,
             upstream + " was asked " + std::to_string(toMilliseconds(now - since->second).count())
                 + " ms after it was told to be leaving");
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -67,7 +67,9 @@
     /** `upstream` was told in the store to be leaving. */
     void onLeaving(const std::string &upstream, MonoTime at);
     void onUpstreamGone(const std::string &upstream);
-    /** A request for `upstream` came at a time when no trouble was under way. */
+    /** Until then instances may be out of touch with the store, so that a leaving may reach them late. */
+    void noteTrouble(MonoTime until);
+    /** A request for `upstream` came. */
     void checkDrain(const std::string &id, const std::string &upstream, MonoTime now);
     /** While only planned work is under way, no answer may be cut. */
     void setPlannedOnly(MonoTime from, MonoTime until);
@@ -91,6 +93,7 @@
     bool m_hasTimedChecks;
     std::map<std::string, Record> m_records;
     std::map<std::string, MonoTime> m_leavingSince;
+    MonoTime m_troubleUntil{};
     MonoTime m_plannedFrom{};
     MonoTime m_plannedUntil{};
     // Service of the versioned route to its version.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -270,6 +270,9 @@
         std::cout << "  " << fault.at.count() << " ms for " << fault.duration.count()
                   << " ms: " << toString(fault.action) << " (" << fault.target << ")\n";
     }
+    if (fault.action >= Action::KillGateway && fault.action <= Action::StoreLinkSlow) {
+        m_ledger.noteTrouble(m_loop.now() + fault.duration);
+    }
     if (fault.action == Action::ChangeConfiguration) {
         publishConfiguration();
     } else if (fault.action >= Action::StoreBusy && fault.action <= Action::StoreLinkSlow) {
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -45,9 +45,10 @@
     return m_requests;
 }
 
-void SoakCaller::next()
+void SoakCaller::next(Milliseconds atLeast)
 {
-    const Milliseconds pause(m_world.random.below(static_cast<std::uint64_t>(longestPause.count())));
+    const Milliseconds pause
+        = atLeast + Milliseconds(m_world.random.below(static_cast<std::uint64_t>(longestPause.count())));
     m_world.loop.after(pause + Milliseconds(1), [self = shared_from_this()] {
         if (!self->m_isStopped) {
             self->ask();
@@ -183,6 +184,7 @@
 {
     m_world.loop.cancel(m_deadline);
     m_world.loop.cancel(m_leaving);
+    const double retrySeconds = std::atof(std::string(m_head.fields.value("Retry-After")).c_str());
     m_record->isComplete = isComplete;
     m_record->isLeft = isLeft;
     m_record->endedAt = m_world.loop.now();
@@ -191,7 +193,7 @@
         drop();
     }
     m_head = {};
-    next();
+    next(Milliseconds(static_cast<std::int64_t>(retrySeconds * 1000)));
 }
 
 void SoakCaller::drop()
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -47,7 +47,8 @@
     void onEnd(eventloop::StreamEnd end) override;
 
 private:
-    void next();
+    /** Asks again after a pause, or after what the last answer said. */
+    void next(Milliseconds atLeast = Milliseconds{0});
     void ask();
     [[nodiscard]] std::string makeRequest(Record &record);
     void finish(bool isComplete, bool isLeft);
--- a/tests/soak/tests/ledgertests.cpp
+++ b/tests/soak/tests/ledgertests.cpp
@@ -127,6 +127,11 @@
     CHECK(ledger.violations().empty());
     ledger.checkDrain("a", "i-1", start + Milliseconds(3500));
     CHECK(promises(ledger) == "drain");
+    Ledger outOfTouch(true);
+    outOfTouch.onLeaving("i-1", start);
+    outOfTouch.noteTrouble(start + Milliseconds(500));
+    outOfTouch.checkDrain("a", "i-1", start + Milliseconds(3500));
+    CHECK(promises(outOfTouch).empty());
     Ledger late(true);
     late.setPlannedOnly(start, start + Seconds(60));
     late.noteVersion(1, "v1", start);
