--- a/src/app/internal/checkcommand.cpp
+++ b/src/app/internal/checkcommand.cpp
@@ -1,6 +1,7 @@
 // `check`: checks a settings file and prints it resolved.
 #include "app/internal/commandline.h"
 #include "app/internal/exitcode.h"
+#include "platform/platformcommand.h"
 #include "settings/settings.h"
 
 #include <cxxopts.hpp>
@@ -15,13 +16,18 @@
     cxxopts::Options options("magnoliastream check",
         "Checks a settings file as a whole. Prints every problem, or the settings with all\n"
         "defaults filled in and secrets masked.\n\n"
-        "example: magnoliastream check --settings entry.jsonc\n");
-    options.add_options()("s,settings", "settings file", cxxopts::value<std::string>())("h,help", "print this help");
+        "examples: magnoliastream check --settings entry.jsonc\n"
+        "          magnoliastream check --platform --settings node.json\n");
+    options.add_options()("s,settings", "settings file", cxxopts::value<std::string>())(
+        "platform", "the file is one that the platform fills in")("h,help", "print this help");
     const auto args = options.parse(argc, argv);
     if (args.count("help") > 0) {
         std::cout << options.help();
         return exitOk;
     }
+    if (args.count("platform") > 0) {
+        return platform::checkPlatformSettings(args["settings"].as<std::string>());
+    }
     const auto checked = settings::readSettings(args["settings"].as<std::string>());
     if (!checked) {
         std::cerr << settings::toString(checked.error()) << '\n';
--- a/src/app/internal/locatecommand.cpp
+++ b/src/app/internal/locatecommand.cpp
@@ -14,8 +14,10 @@
 {
     cxxopts::Options options("magnoliastream locate",
         "Asks an entry instance which addresses to use; several may be named, the first that\n"
-        "answers is taken.\n\n"
-        "example: magnoliastream locate --entry 127.0.0.1:8001,127.0.0.1:8002\n");
+        "answers is taken. "
+        "On the platform, the directory's or the metrics' address is named.\n\n"
+        "examples: magnoliastream locate --entry 127.0.0.1:8001,127.0.0.1:8002\n"
+        "          magnoliastream locate --entry 10.1.0.40:9464\n");
     options.add_options()("e,entry", "address ip:port of an entry's caller listener",
         cxxopts::value<std::vector<std::string>>())("o,organisation", "organisation",
         cxxopts::value<std::string>()->default_value(""))("h,help", "print this help");
--- a/src/app/internal/statuscommand.cpp
+++ b/src/app/internal/statuscommand.cpp
@@ -15,8 +15,10 @@
 int runStatus(int argc, const char *const *argv)
 {
     cxxopts::Options options("magnoliastream status",
-        "Shows what an entry instance knows: peers, upstreams, classes, limits, configuration.\n\n"
-        "example: magnoliastream status --operator 127.0.0.1:9001\n");
+        "Shows what an entry instance knows: peers, upstreams, classes, limits, configuration.\n"
+        "On the platform the metrics' address is the operator's.\n\n"
+        "examples: magnoliastream status --operator 127.0.0.1:9001\n"
+        "          magnoliastream status --operator 10.1.0.40:9464 --json\n");
     options.add_options()("o,operator", "address ip:port of the entry's operator listener",
         cxxopts::value<std::string>())("json", "print the status as JSON")("h,help", "print this help");
     const auto args = options.parse(argc, argv);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/internal/callerhandler.h"
 #include "gateway/internal/controlhandler.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/gatewaystatus.h"
 #include "gateway/listener.h"
 #include "published/storereader.h"
 
@@ -29,6 +30,8 @@
 /** How often entries that may only have lapsed are looked at. */
 constexpr Milliseconds expiryInterval{250};
 constexpr std::size_t mostControlConnections = 256;
+/** The product's own path for what the platform's directory answers. */
+constexpr std::string_view productLocatePath = "/v1/locate";
 
 std::uint32_t toCount(double value)
 {
@@ -53,6 +56,9 @@
         , control([this](std::string_view path) {
             return reply(path);
         })
+        , operatorControl([this](std::string_view path) {
+            return replyToOperator(path);
+        })
     {
         context.writeMemoryOrder = ports.writeMemoryOrder;
         fleet::FleetLinkSettings link;
@@ -78,7 +84,9 @@
     void onPeerLost(const std::string &instance) override;
 
     void onEffect(const published::PublishedState::Effect &effect);
+    /** What anybody may ask: readiness, and which addresses to use. */
     [[nodiscard]] ControlAnswer reply(std::string_view path);
+    [[nodiscard]] ControlAnswer replyToOperator(std::string_view path);
     void expire();
     void checkStop(MonoTime begunAt);
 
@@ -90,6 +98,7 @@
     published::StoreReader reader;
     CallerHandler callers;
     ControlHandler control;
+    ControlHandler operatorControl;
     std::vector<std::shared_ptr<Listener>> listeners;
     std::shared_ptr<Listener> callerListener;
     bool wasReady = false;
@@ -200,7 +209,7 @@
     if (path == settings.paths.ready) {
         return {isReady() ? 200 : 503, {}, {}};
     }
-    if (path == settings.paths.locate) {
+    if (path == settings.paths.locate || path == productLocatePath) {
         std::vector<std::string> addresses = context.fleet->table().callerAddresses(loop.now());
         if (isReady()) {
             addresses.push_back(settings.callerAddress);
@@ -210,10 +219,20 @@
         }
         return {200, "application/json", ports.writeLocateAnswer(addresses, settings.locateTtl)};
     }
+    return {404, {}, {}};
+}
+
+ControlAnswer Gateway::Parts::replyToOperator(std::string_view path)
+{
+    if (path == "/status") {
+        const std::string_view word = isReady() ? "ready" : context.stopAt ? "stopping" : "starting";
+        return {200, "application/json",
+            statusJson(context, state, {word, reader.isConnected(), callerListener->busyConnections()})};
+    }
     if (path == "/metrics") {
         return {200, "text/plain; version=0.0.4", context.metrics.expose()};
     }
-    return {404, {}, {}};
+    return reply(path);
 }
 
 void Gateway::Parts::expire()
@@ -267,13 +286,14 @@
     if (auto started = parts.callerListener->listen(parts.settings.callerAddress); !started) {
         return started;
     }
-    const std::vector<std::string> addresses{
-        parts.settings.readinessAddress, parts.settings.directoryAddress, parts.settings.metricsAddress};
-    for (const std::string &address : addresses) {
+    const std::vector<std::pair<std::string, ControlHandler *>> addresses{
+        {parts.settings.readinessAddress, &parts.control}, {parts.settings.directoryAddress, &parts.control},
+        {parts.settings.metricsAddress, &parts.operatorControl}};
+    for (const auto &[address, handler] : addresses) {
         if (address.empty()) {
             continue;
         }
-        auto listener = std::make_shared<Listener>(parts.loop, parts.control, mostControlConnections);
+        auto listener = std::make_shared<Listener>(parts.loop, *handler, mostControlConnections);
         if (auto started = listener->listen(address); !started) {
             return started;
         }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -118,6 +118,50 @@
 
 } // namespace
 
+TEST_CASE("operators see what the instance knows, and nobody else does")
+{
+    GatewayFixture fixture;
+    const ScriptedUpstream &upstream
+        = fixture.addUpstream("service", [](ScriptedUpstream::Connection &, const std::string &, int) {});
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    settings.directoryAddress = freeAddress();
+    settings.metricsAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    settings.paths.locate = "/locate";
+    FakeStore store(fixture.loop);
+    const FakeDecoder decoder(upstream.address());
+    Gateway gateway(fixture.loop, settings,
+        {store, decoder,
+            [](const std::vector<std::string> &addresses, Milliseconds) {
+                return addresses.front();
+            },
+            nullptr},
+        3);
+    REQUIRE(gateway.start());
+    const auto answerTo = [&](const std::string &address, const std::string &path) {
+        Client client(fixture.loop, address);
+        client.get(path);
+        fixture.runUntil([&] {
+            return !client.received.empty();
+        });
+        return client.received;
+    };
+    // The store is read with the first events of the loop.
+    CHECK(answerTo(settings.directoryAddress, "/v1/locate").ends_with(settings.callerAddress));
+    const std::string status = answerTo(settings.metricsAddress, "/status");
+    CHECK(status.starts_with("HTTP/1.1 200"));
+    for (const char *const part : {"\"instance\":\"self\"", "\"state\":\"ready\"", "\"configuration_version\":1",
+             "\"peers\":[]", "\"id\":\"u\"", "\"state\":\"live\""}) {
+        INFO(status);
+        CHECK(status.find(part) != std::string::npos);
+    }
+    CHECK(answerTo(settings.metricsAddress, "/metrics").find("magnolia_gateway_open_requests") != std::string::npos);
+    CHECK(answerTo(settings.directoryAddress, "/status").starts_with("HTTP/1.1 404"));
+    CHECK(answerTo(settings.directoryAddress, "/metrics").starts_with("HTTP/1.1 404"));
+}
+
 TEST_CASE("a planned stop answers what is under way, tells callers to go, and ends when nothing is open")
 {
     GatewayFixture fixture;
