--- a/src/entry/internal/erroranswer.cpp
+++ b/src/entry/internal/answer/erroranswer.cpp
@@ -1,5 +1,5 @@
 // The JSON form of an error.
-#include "entry/internal/erroranswer.h"
+#include "entry/internal/answer/erroranswer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/internal/httpcalleranswer.cpp
+++ b/src/entry/internal/answer/httpcalleranswer.cpp
@@ -1,7 +1,7 @@
 // The answer to a caller over HTTP.
-#include "entry/internal/httpcalleranswer.h"
+#include "entry/internal/answer/httpcalleranswer.h"
 
-#include "entry/internal/erroranswer.h"
+#include "entry/internal/answer/erroranswer.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerResponse.h>
--- a/src/entry/internal/requestlog.cpp
+++ b/src/entry/internal/answer/requestlog.cpp
@@ -1,7 +1,7 @@
 // The log lines of one request.
-#include "entry/internal/requestlog.h"
+#include "entry/internal/answer/requestlog.h"
 
-#include "entry/internal/runstate.h"
+#include "entry/internal/run/runstate.h"
 #include "framework/logging/log.h"
 
 namespace magnolia::entry
--- a/src/entry/internal/bearerkeys.cpp
+++ b/src/entry/internal/arrival/bearerkeys.cpp
@@ -1,5 +1,5 @@
 // Checks an organisation's bearer key against its published hashes.
-#include "entry/internal/bearerkeys.h"
+#include "entry/internal/arrival/bearerkeys.h"
 
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
--- a/src/entry/internal/bodyfields.cpp
+++ b/src/entry/internal/arrival/bodyfields.cpp
@@ -1,5 +1,5 @@
 // Finds single members of a completion's JSON body without parsing it.
-#include "entry/internal/bodyfields.h"
+#include "entry/internal/arrival/bodyfields.h"
 
 #include <charconv>
 
--- a/src/entry/internal/callerhandler.cpp
+++ b/src/entry/internal/arrival/callerhandler.cpp
@@ -1,9 +1,9 @@
 // The listener for callers.
 #include "entry/callerhandler.h"
 
-#include "entry/internal/httpcalleranswer.h"
-#include "entry/internal/requestlog.h"
-#include "entry/internal/requestreader.h"
+#include "entry/internal/answer/httpcalleranswer.h"
+#include "entry/internal/answer/requestlog.h"
+#include "entry/internal/arrival/requestreader.h"
 #include "idempotency/uuidv7.h"
 #include "locating/locating.h"
 
--- a/src/entry/internal/requestreader.cpp
+++ b/src/entry/internal/arrival/requestreader.cpp
@@ -1,8 +1,8 @@
 // Reads a caller's request head and checks it against the configuration.
-#include "entry/internal/requestreader.h"
+#include "entry/internal/arrival/requestreader.h"
 
-#include "entry/internal/bearerkeys.h"
-#include "entry/internal/bodyfields.h"
+#include "entry/internal/arrival/bearerkeys.h"
+#include "entry/internal/arrival/bodyfields.h"
 
 #include <Poco/Net/HTTPRequest.h>
 
--- a/src/entry/internal/ownerrelay.cpp
+++ b/src/entry/internal/gate/ownerrelay.cpp
@@ -1,12 +1,12 @@
 // Passes a request on to the instance that owns its idempotency key.
-#include "entry/internal/ownerrelay.h"
+#include "entry/internal/gate/ownerrelay.h"
 
 #include "upstreams/iupstreamclient.h"
 
 #include "entry/icalleranswer.h"
-#include "entry/internal/runstate.h"
-#include "entry/internal/streamreader.h"
-#include "entry/internal/upstreamcalls.h"
+#include "entry/internal/run/runstate.h"
+#include "entry/internal/run/streamreader.h"
+#include "entry/internal/run/upstreamcalls.h"
 
 namespace magnolia::entry
 {
--- a/src/entry/internal/operatorhandler.cpp
+++ b/src/entry/internal/operators/operatorhandler.cpp
@@ -1,7 +1,7 @@
 // The listener for operators.
 #include "entry/operatorhandler.h"
 
-#include "entry/internal/erroranswer.h"
+#include "entry/internal/answer/erroranswer.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
--- a/src/entry/internal/groupholder.cpp
+++ b/src/entry/internal/run/groupholder.cpp
@@ -1,8 +1,8 @@
 // Holds the memory of a group of engines for one attempt.
-#include "entry/internal/groupholder.h"
+#include "entry/internal/run/groupholder.h"
 
 #include "entry/cancelqueue.h"
-#include "entry/internal/jsoncall.h"
+#include "entry/internal/run/jsoncall.h"
 #include "kvmemory/groupreservation.h"
 
 namespace magnolia::entry
--- a/src/entry/internal/jsoncall.cpp
+++ b/src/entry/internal/run/jsoncall.cpp
@@ -1,5 +1,5 @@
 // A small call of an upstream whose answer is a JSON object.
-#include "entry/internal/jsoncall.h"
+#include "entry/internal/run/jsoncall.h"
 
 #include "upstreams/iupstreamclient.h"
 
--- a/src/entry/internal/memorykeeper.cpp
+++ b/src/entry/internal/run/memorykeeper.cpp
@@ -3,8 +3,8 @@
 
 #include "entry/activerequests.h"
 #include "entry/cancelqueue.h"
-#include "entry/internal/jsoncall.h"
-#include "entry/internal/upstreamassignment.h"
+#include "entry/internal/run/jsoncall.h"
+#include "entry/internal/run/upstreamassignment.h"
 #include "framework/logging/log.h"
 
 #include <algorithm>
--- a/src/entry/internal/requestrun.cpp
+++ b/src/entry/internal/run/requestrun.cpp
@@ -1,5 +1,5 @@
 // One run of one request.
-#include "entry/internal/requestrun.h"
+#include "entry/internal/run/requestrun.h"
 
 #include "upstreams/iupstreamclient.h"
 
@@ -7,8 +7,8 @@
 #include "entry/cancelqueue.h"
 #include "entry/icalleranswer.h"
 #include "entry/idispatchpolicy.h"
-#include "entry/internal/requestlog.h"
-#include "entry/internal/upstreamcalls.h"
+#include "entry/internal/answer/requestlog.h"
+#include "entry/internal/run/upstreamcalls.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/internal/requestrun.h
+++ b/src/entry/internal/run/requestrun.h
@@ -4,9 +4,9 @@
 #include "upstreams/types/upstreamcall.h"
 
 #include "entry/ikeygate.h"
-#include "entry/internal/groupholder.h"
-#include "entry/internal/runstate.h"
-#include "entry/internal/streamreader.h"
+#include "entry/internal/run/groupholder.h"
+#include "entry/internal/run/runstate.h"
+#include "entry/internal/run/streamreader.h"
 #include "entry/nextstep.h"
 #include "entry/requestrunner.h"
 #include "entry/types/runreport.h"
--- a/src/entry/internal/requestrunner.cpp
+++ b/src/entry/internal/run/requestrunner.cpp
@@ -4,9 +4,9 @@
 #include "entry/icalleranswer.h"
 #include "entry/idispatchpolicy.h"
 #include "entry/ikeygate.h"
-#include "entry/internal/ownerrelay.h"
-#include "entry/internal/requestlog.h"
-#include "entry/internal/requestrun.h"
+#include "entry/internal/answer/requestlog.h"
+#include "entry/internal/gate/ownerrelay.h"
+#include "entry/internal/run/requestrun.h"
 
 namespace magnolia::entry
 {
--- a/src/entry/internal/streamreader.cpp
+++ b/src/entry/internal/run/streamreader.cpp
@@ -1,10 +1,10 @@
 // Reads a token stream from an upstream and passes it on.
-#include "entry/internal/streamreader.h"
+#include "entry/internal/run/streamreader.h"
 
 #include "upstreams/iupstreamanswer.h"
 
 #include "entry/icalleranswer.h"
-#include "entry/internal/runstate.h"
+#include "entry/internal/run/runstate.h"
 #include "streaming/eventsplitter.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/internal/upstreamassignment.cpp
+++ b/src/entry/internal/run/upstreamassignment.cpp
@@ -1,5 +1,5 @@
 // Which upstreams of the data centre this instance looks after.
-#include "entry/internal/upstreamassignment.h"
+#include "entry/internal/run/upstreamassignment.h"
 
 #include "observing/observerassignment.h"
 
--- a/src/entry/internal/upstreamcalls.cpp
+++ b/src/entry/internal/run/upstreamcalls.cpp
@@ -1,5 +1,5 @@
 // The calls that a request makes of its upstreams.
-#include "entry/internal/upstreamcalls.h"
+#include "entry/internal/run/upstreamcalls.h"
 
 #include <algorithm>
 
--- a/src/entry/internal/loadobserver.cpp
+++ b/src/entry/internal/upstreamhealth/loadobserver.cpp
@@ -2,8 +2,8 @@
 #include "entry/loadobserver.h"
 
 #include "entry/healthkeeper.h"
-#include "entry/internal/jsoncall.h"
-#include "entry/internal/upstreamassignment.h"
+#include "entry/internal/run/jsoncall.h"
+#include "entry/internal/run/upstreamassignment.h"
 #include "framework/logging/log.h"
 #include "observing/loadmerge.h"
 #include "peerlink/binarycodec.h"
--- a/src/entry/tests/requestreadertests.cpp
+++ b/src/entry/tests/requestreadertests.cpp
@@ -1,7 +1,7 @@
 // Reading of callers' requests: what is missing or wrong is named, and bodies are not parsed.
-#include "entry/internal/bearerkeys.h"
-#include "entry/internal/bodyfields.h"
-#include "entry/internal/requestreader.h"
+#include "entry/internal/arrival/bearerkeys.h"
+#include "entry/internal/arrival/bodyfields.h"
+#include "entry/internal/arrival/requestreader.h"
 #include "framework/testing/schedule.h"
 
 #include <catch2/catch.hpp>
--- a/src/entry/tests/runnertests.cpp
+++ b/src/entry/tests/runnertests.cpp
@@ -5,7 +5,7 @@
 #include "entry/icalleranswer.h"
 #include "entry/idispatchpolicy.h"
 #include "entry/ikeygate.h"
-#include "entry/internal/streamreader.h"
+#include "entry/internal/run/streamreader.h"
 #include "entry/requestrunner.h"
 #include "entry/tests/fakeupstreams.h"
 #include "framework/logging/log.h"
