--- a/src/fleet/ifleetuser.h
+++ b/src/fleet/ifleetuser.h
@@ -23,6 +23,8 @@
     /** Whether it hears the store itself, so that peers need not pass on what is published. */
     bool isStoreReached = false;
     bool isComplete = false;
+    /** When the store last answered. */
+    MonoTime storeHeardAt{};
 };
 
 /** All that one instance knows of what is published. */
--- a/src/fleet/internal/fetchdelay.cpp
+++ b/src/fleet/internal/fetchdelay.cpp
@@ -9,6 +9,8 @@
 
 /** An instance that hears the store waits this long for a configuration that a peer has already: some answers' time. */
 constexpr Milliseconds configurationDelay{150};
+/** An instance that has begun to read the store has pages to read; so long it is left to that. */
+constexpr Milliseconds readingDelay{1500};
 /** As long for any other change: the reader's pause for series (400 ms) and some answers' time. */
 constexpr Milliseconds changeDelay{700};
 
@@ -25,7 +27,19 @@
     if (!own.isStoreReached) {
         return Milliseconds{0};
     }
-    return isConfigurationBehind || isEmpty ? configurationDelay : changeDelay;
+    if (isEmpty) {
+        return readingDelay;
+    }
+    return isConfigurationBehind ? configurationDelay : changeDelay;
+}
+
+bool isFetchNeeded(const OwnState &own, const Peer &peer, MonoTime noticedAt)
+{
+    if (!fetchDelay(own, peer)) {
+        return false;
+    }
+    const bool isOnlyBehind = own.isComplete && peer.configurationVersion <= own.configurationVersion;
+    return !own.isStoreReached || !isOnlyBehind || own.storeHeardAt <= noticedAt;
 }
 
 } // namespace magnolia::fleet
--- a/src/fleet/internal/fetchdelay.h
+++ b/src/fleet/internal/fetchdelay.h
@@ -15,4 +15,10 @@
  */
 [[nodiscard]] std::optional<Milliseconds> fetchDelay(const OwnState &own, const Peer &peer);
 
+/**
+ * Whether the fetch that was thought of at `noticedAt` is still needed once its delay is over. A store that has
+ * answered since tells the rest by itself: in a large fleet everybody is behind somebody all the time.
+ */
+[[nodiscard]] bool isFetchNeeded(const OwnState &own, const Peer &peer, MonoTime noticedAt);
+
 } // namespace magnolia::fleet
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -30,12 +30,12 @@
 constexpr std::uint64_t introductionBeats = 8;
 /** Peers named in one message; each introduction names others. */
 constexpr std::size_t introducedPeers = 32;
-/** Peers that are told all at the same time. With the largest snapshots they hold a fifth of a process's memory. */
-constexpr std::size_t mostSnapshots = 6;
+/** Peers that are told all at the same time. Three of a megabyte pass the slowest published link within a second. */
+constexpr std::size_t mostSnapshots = 3;
 /** After a peer has not told; it serves others meanwhile. */
 constexpr Milliseconds fetchRetry{120};
 /** A peer that does not send all it knows within this time is given up. */
-constexpr Milliseconds fetchTime{1500};
+constexpr Milliseconds fetchTime{3000};
 constexpr std::size_t largestSnapshot = 32 * 1024 * 1024;
 constexpr eventloop::SilenceLimits peerSilence{Milliseconds{1000}, Milliseconds{1000}, 2, Milliseconds{1500}};
 
@@ -447,10 +447,10 @@
     }
     m_loop.cancel(m_fetchTimer);
     m_fetchAt = due;
-    m_fetchTimer = m_loop.after(toMilliseconds(due - now), [self = shared_from_this(), peer] {
+    m_fetchTimer = m_loop.after(toMilliseconds(due - now), [self = shared_from_this(), peer, now] {
         self->m_fetchTimer = 0;
         // What the peer had when the fetch was thought of may have come from the store meanwhile.
-        if (!self->m_isStopped && fetchDelay(self->m_user.ownState(), peer)) {
+        if (!self->m_isStopped && isFetchNeeded(self->m_user.ownState(), peer, now)) {
             self->fetch(peer);
         }
     });
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -110,7 +110,7 @@
 fleet::OwnState Gateway::Parts::ownState() const
 {
     return {isReady(), context.stopAt.has_value(), context.catalogue ? context.catalogue->version : 0, state.revision(),
-        reader.isConnected(), state.isComplete()};
+        reader.isConnected(), state.isComplete(), reader.heardAt()};
 }
 
 std::vector<fleet::PlacementNote> Gateway::Parts::ownPlacements() const
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -34,6 +34,11 @@
     return m_isConnected;
 }
 
+MonoTime StoreReader::heardAt() const
+{
+    return m_heardAt;
+}
+
 std::uint64_t StoreReader::calls() const
 {
     return m_calls;
@@ -111,6 +116,7 @@
 void StoreReader::onSuccess()
 {
     m_pause = m_parameters.firstPause;
+    m_heardAt = m_loop.now();
     if (!m_isConnected) {
         logging::write(logging::Level::Info, "published", "store_reached", {});
         if (m_wasConnected) {
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -38,6 +38,8 @@
     void start();
     /** Whether the last call succeeded. */
     [[nodiscard]] bool isConnected() const;
+    /** When a call last succeeded. */
+    [[nodiscard]] MonoTime heardAt() const;
     /** Calls made so far. */
     [[nodiscard]] std::uint64_t calls() const;
 
@@ -59,6 +61,7 @@
     std::uint64_t m_firstPageRevision = 0;
     std::uint64_t m_watchFrom = 0;
     MonoTime m_watchedAt{};
+    MonoTime m_heardAt{};
     // After a break changes may have been missed; they are read without pauses until a watch has to wait.
     bool m_isCatchingUp = true;
     // Whether all was read once, so that only changes are needed.
