--- a/bench/experiment/decisioncost.cpp
+++ b/bench/experiment/decisioncost.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t placementsOfOneEngine = 6;
 constexpr int decisions = 200;
 constexpr int notes = 2000;
+/** Above the ids of the placements that are there. */
+constexpr std::uint64_t firstNote = 1'000'000;
 
 catalogue::EngineModel usualEngine()
 {
@@ -89,7 +91,7 @@
     begin = std::chrono::steady_clock::now();
     for (int i = 0; i < notes; ++i) {
         now += Microseconds(100);
-        const auto id = static_cast<std::uint64_t>(1'000'000 + i);
+        const auto id = firstNote + static_cast<std::uint64_t>(i);
         board.put("peer", makePlacement(id, engines, random, now), now);
         board.setWriting(id, now);
         board.remove(id, now);
--- a/bench/experiment/outcomes.cpp
+++ b/bench/experiment/outcomes.cpp
@@ -52,6 +52,7 @@
         window.asked += promptClass.worth;
     }
     std::vector<double> shares;
+    shares.reserve(windows.size());
     for (const auto &[number, it] : windows) {
         shares.push_back(it.asked > 0 ? it.earned / it.asked : 1);
     }
@@ -75,6 +76,7 @@
         }
     }
     std::vector<LengthFigures> lengths;
+    lengths.reserve(bins.size());
     constexpr double low = 0.05;
     constexpr double middle = 0.5;
     constexpr double high = 0.95;
--- a/bench/experiment/report.cpp
+++ b/bench/experiment/report.cpp
@@ -193,6 +193,7 @@
         }
     }
     std::vector<BarGroup> inOrder;
+    inOrder.reserve(groups.size());
     for (auto &[tokens, group] : groups) {
         inOrder.push_back(std::move(group));
     }
