--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -58,8 +58,8 @@
     class SnapshotCall;
 
     [[nodiscard]] PeerMessage makeMessage();
-    /** `isIntroducing` adds some of the peers that this instance knows; placements are for the own cell only. */
-    [[nodiscard]] PeerMessage makeWhole(bool isIntroducing, bool isForOwnCell);
+    /** Names up to `introduced` of the known peers, others each time; placements are for the own cell only. */
+    [[nodiscard]] PeerMessage makeWhole(std::size_t introduced, bool isForOwnCell);
     [[nodiscard]] bool isInOwnCell(const std::string &instance) const;
     void sendTo(const PeerAddress &address, const std::string &bytes);
     void sendToLive(const PeerMessage &message);
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -28,8 +28,11 @@
 constexpr Milliseconds batchTime{5};
 /** Every so many whole messages name the peers that their sender knows; those that are new hear it at once. */
 constexpr std::uint64_t introductionBeats = 8;
-/** Peers named in one message; each introduction names others. */
+/** Peers named in one message now and then; each names others. */
 constexpr std::size_t introducedPeers = 32;
+/** Peers named to one that has just started: a few such answers name a whole fleet, so that all meet within two beats.
+ */
+constexpr std::size_t peersForNewcomers = 128;
 /** Peers that are told all at the same time. Three of a megabyte pass the slowest published link within a second. */
 constexpr std::size_t mostSnapshots = 3;
 /** After a peer has not told; it serves others meanwhile. */
@@ -234,7 +237,7 @@
     return cellOf(stableHash(m_settings.instance), m_cells);
 }
 
-PeerMessage FleetLink::makeWhole(bool isIntroducing, bool isForOwnCell)
+PeerMessage FleetLink::makeWhole(std::size_t introduced, bool isForOwnCell)
 {
     PeerMessage message = makeMessage();
     message.dataCentre = m_settings.dataCentre;
@@ -246,11 +249,11 @@
     message.isWhole = message.placements.size() <= mostPlacements;
     message.placements.resize(std::min(message.placements.size(), mostPlacements));
     const auto &peers = m_table.peers();
-    if (!isIntroducing || peers.empty()) {
+    if (introduced == 0 || peers.empty()) {
         return message;
     }
     auto next = std::next(peers.begin(), static_cast<std::ptrdiff_t>(m_introduced % peers.size()));
-    for (std::size_t i = 0; i < std::min(introducedPeers, peers.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(introduced, peers.size()); ++i) {
         if (!m_table.isSilent(next->second, m_loop.now())) {
             message.peers.push_back(next->second.address);
         }
@@ -328,8 +331,8 @@
 
 void FleetLink::tellAll()
 {
-    const bool isIntroducing = m_beats++ % introductionBeats == 0;
-    const std::string bytes = peerlink::encode(makeWhole(isIntroducing, true));
+    const std::size_t introduced = m_beats++ % introductionBeats == 0 ? introducedPeers : 0;
+    const std::string bytes = peerlink::encode(makeWhole(introduced, true));
     if (m_cells == 1) {
         for (const PeerAddress &it : m_table.targets(m_loop.now())) {
             sendTo(it, bytes);
@@ -342,7 +345,7 @@
             ownCell.insert(peer.address);
         }
     }
-    const std::string light = peerlink::encode(makeWhole(isIntroducing, false));
+    const std::string light = peerlink::encode(makeWhole(introduced, false));
     for (const PeerAddress &it : m_table.targets(m_loop.now())) {
         sendTo(it, ownCell.contains(it) ? bytes : light);
     }
@@ -426,7 +429,7 @@
     m_user.onPlacements(*message);
     if (heard == PeerTable::Heard::New) {
         // It learns at once what it would otherwise hear with the next beat.
-        sendTo(message->address, peerlink::encode(makeWhole(true, isInOwnCell(message->instance))));
+        sendTo(message->address, peerlink::encode(makeWhole(peersForNewcomers, isInOwnCell(message->instance))));
     }
     const auto peer = m_table.peers().find(message->instance);
     if (peer != m_table.peers().end()) {
--- a/src/framework/httpwire/messagereader.h
+++ b/src/framework/httpwire/messagereader.h
@@ -22,7 +22,10 @@
     TooLarge,
 };
 
-/** Takes a request head off the front of `input`; on any outcome but Complete nothing is consumed. */
+/**
+ * Takes a request head off the front of `input`. On any outcome but Complete nothing is consumed but empty lines before
+ * the head, which are passed over (RFC 9112, section 2.2).
+ */
 [[nodiscard]] ReadState readRequestHead(std::string &input, std::size_t limit, RequestHead &head);
 /** The same for a response head. */
 [[nodiscard]] ReadState readResponseHead(std::string &input, std::size_t limit, ResponseHead &head);
--- a/src/framework/httpwire/tests/httpwiretests.cpp
+++ b/src/framework/httpwire/tests/httpwiretests.cpp
@@ -2,6 +2,7 @@
 #include "framework/global/random.h"
 #include "framework/httpwire/messagereader.h"
 #include "framework/httpwire/messagewriter.h"
+#include "framework/testing/fuzzing.h"
 
 #include <catch2/catch.hpp>
 
@@ -142,3 +143,63 @@
         static_cast<void>(readResponseHead(bytes, limit, response));
     }
 }
+
+TEST_CASE("fuzz: mutated requests are refused or waited for, or read within what they announce")
+{
+    const std::string whole = "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string chunked
+        = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    Random random(21);
+    for (int i = testing::fuzzRounds(); i > 0; --i) {
+        const std::string bytes = testing::mutated(i % 2 == 0 ? whole : chunked, random);
+        std::string input = bytes;
+        RequestHead head;
+        if (readRequestHead(input, limit, head) != ReadState::Complete) {
+            // Only empty lines before the head may be gone.
+            std::string passedOver = bytes.substr(0, bytes.size() - input.size());
+            while (passedOver.starts_with("\r\n")) {
+                passedOver.erase(0, 2);
+            }
+            if (!passedOver.empty() || !bytes.ends_with(input)) {
+                FAIL(bytes);
+            }
+            continue;
+        }
+        auto body = requestBody(head);
+        if (!body) {
+            continue;
+        }
+        std::string taken;
+        body->take(input, taken);
+        const bool isLength = body->framing() == BodyFraming::Length;
+        if (taken.size() > bytes.size() || (isLength && body->isComplete() && taken.size() != body->announcedLength())
+            || head.method.empty() || head.target.empty()) {
+            FAIL(bytes);
+        }
+    }
+}
+
+TEST_CASE("fuzz: mutated answers are refused or waited for, or read within what they announce")
+{
+    const std::string whole
+        = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    Random random(22);
+    for (int i = testing::fuzzRounds(); i > 0; --i) {
+        const std::string bytes = testing::mutated(i % 2 == 0 ? whole : chunked, random);
+        std::string input = bytes;
+        ResponseHead head;
+        if (readResponseHead(input, limit, head) != ReadState::Complete) {
+            continue;
+        }
+        auto body = responseBody(head, "POST");
+        if (!body) {
+            continue;
+        }
+        std::string taken;
+        body->take(input, taken);
+        if (taken.size() > bytes.size() || head.status < 100 || head.status > 999) {
+            FAIL(bytes);
+        }
+    }
+}
--- a/src/streaming/tests/eventsplittertests.cpp
+++ b/src/streaming/tests/eventsplittertests.cpp
@@ -1,4 +1,5 @@
 // Events are cut at the blank line only, however the bytes arrive.
+#include "framework/testing/fuzzing.h"
 #include "framework/testing/schedule.h"
 #include "streaming/eventsplitter.h"
 
@@ -65,3 +66,30 @@
     }
     CHECK(splitter.isOverflown());
 }
+
+TEST_CASE("fuzz: whatever comes in whatever pieces, events are its bytes in order and none is cut")
+{
+    std::string text;
+    for (int id = 1; id <= 5; ++id) {
+        text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    }
+    Random random(23);
+    for (int i = testing::fuzzRounds(); i > 0; --i) {
+        const std::string bytes = testing::mutated(text, random);
+        EventSplitter splitter;
+        std::string passed;
+        bool isWhole = true;
+        for (std::size_t at = 0; at < bytes.size();) {
+            const std::size_t size = 1 + random.below(20);
+            splitter.feed(std::string_view(bytes).substr(at, size));
+            at += size;
+            while (const auto event = splitter.next()) {
+                passed.append(event->raw);
+                isWhole = isWhole && event->raw.ends_with("\n\n");
+            }
+        }
+        if (!isWhole || !bytes.starts_with(passed) || splitter.hasRest() != (passed.size() < bytes.size())) {
+            FAIL(bytes);
+        }
+    }
+}
