--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -210,8 +210,9 @@
             continue;
         }
         byProcess[it.process].push_back({it.endedAt, version->second, &it});
-        const auto newest = std::find_if(m_versionAt.rbegin(), m_versionAt.rend(), [&](const auto &known) {
-            return known.second + applyBound < it.sentAt;
+        const MonoTime sentAt = it.sentAt;
+        const auto newest = std::find_if(m_versionAt.rbegin(), m_versionAt.rend(), [sentAt](const auto &known) {
+            return known.second + applyBound < sentAt;
         });
         if (m_hasTimedChecks && isWithinPlanned(it) && newest != m_versionAt.rend()
             && version->second < newest->first) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -252,7 +252,8 @@
     });
 }
 
-void Soak::during(const Fault &fault, const std::string &key, std::function<void()> begin, std::function<void()> heal)
+void Soak::during(
+    const Fault &fault, const std::string &key, const std::function<void()> &begin, std::function<void()> heal)
 {
     if (!m_held.insert(key).second) {
         return;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -63,7 +63,8 @@
     void superviseGateways();
     void askDirectory();
     /** Calls `heal` after the fault's time; `key` names what one fault at a time may hold. */
-    void during(const Fault &fault, const std::string &key, std::function<void()> begin, std::function<void()> heal);
+    void during(
+        const Fault &fault, const std::string &key, const std::function<void()> &begin, std::function<void()> heal);
     void endTraffic();
     void waitForCallers();
     /** All are killed; the callers have to be served again, and then nothing may be left over. */
