Experiment tool and soak: arrivals are referred to, not copied; what nothing used is gone

An experiment copied its arrivals, so that both of its callers had to point the outcomes back at their own; it now refers to them and takes no temporary. No product source is touched.

--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -43,9 +43,9 @@
 }
 
 Result<std::unique_ptr<Experiment>> Experiment::make(
-    const Workload &workload, const std::string &policy, std::vector<Arrival> arrivals, std::uint64_t seed)
+    const Workload &workload, const std::string &policy, const std::vector<Arrival> &arrivals, std::uint64_t seed)
 {
-    std::unique_ptr<Experiment> made(new Experiment(workload, std::move(arrivals), seed, bench::knowsOutput(policy)));
+    std::unique_ptr<Experiment> made(new Experiment(workload, arrivals, seed, bench::knowsOutput(policy)));
     made->m_policy = makePolicy(policy, workload, made->m_schedule, seed);
     if (!made->m_policy) {
         return makeError(ResultCode::SettingsInvalid, "policy: '" + policy + "' is not known");
@@ -53,11 +53,12 @@
     return made;
 }
 
-Experiment::Experiment(const Workload &workload, std::vector<Arrival> arrivals, std::uint64_t seed, bool knowsOutput)
+Experiment::Experiment(
+    const Workload &workload, const std::vector<Arrival> &arrivals, std::uint64_t seed, bool knowsOutput)
     : m_workload(workload)
     , m_knowsOutput(knowsOutput)
     , m_schedule(seed)
-    , m_arrivals(std::move(arrivals))
+    , m_arrivals(arrivals)
     , m_engines(workload.engine, workload.engines, *this)
     , m_outcomes(m_arrivals.size())
     , m_refused(m_arrivals.size(), false)
@@ -87,11 +88,6 @@
     return m_outcomes;
 }
 
-const std::vector<Arrival> &Experiment::arrivals() const
-{
-    return m_arrivals;
-}
-
 double Experiment::busyShare() const
 {
     double busy = 0;
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -39,16 +39,19 @@
 class Experiment : public enginemodel::IEngineFleetUser
 {
 public:
-    /** `workload` must outlive it. Error: SettingsInvalid (5002) for an unknown policy. */
+    /** `workload` and `arrivals` must outlive it and its outcomes. Error: SettingsInvalid (5002) for an unknown policy.
+     */
     [[nodiscard]] static Result<std::unique_ptr<Experiment>> make(
-        const Workload &workload, const std::string &policy, std::vector<Arrival> arrivals, std::uint64_t seed);
+        const Workload &workload, const std::string &policy, const std::vector<Arrival> &arrivals, std::uint64_t seed);
+    static Result<std::unique_ptr<Experiment>> make(
+        const Workload &workload, const std::string &policy, std::vector<Arrival> &&arrivals, std::uint64_t seed)
+        = delete;
 
     /** Arrivals by number that are refused for good as they come; what a run in hindsight has chosen. */
     void refuse(std::vector<bool> arrivals);
 
     /** Plays all arrivals to their ends. */
     std::vector<Outcome> run();
-    [[nodiscard]] const std::vector<Arrival> &arrivals() const;
     /** Share of the engines' time in which they did anything. */
     [[nodiscard]] double busyShare() const;
 
@@ -67,7 +70,7 @@
         double longestGapMs = 0;
     };
 
-    Experiment(const Workload &workload, std::vector<Arrival> arrivals, std::uint64_t seed, bool knowsOutput);
+    Experiment(const Workload &workload, const std::vector<Arrival> &arrivals, std::uint64_t seed, bool knowsOutput);
 
     void arrive(std::size_t number);
     void comeBack(std::size_t number, Milliseconds after);
@@ -81,7 +84,7 @@
     const Workload &m_workload;
     bool m_knowsOutput;
     testing::Schedule m_schedule;
-    std::vector<Arrival> m_arrivals;
+    const std::vector<Arrival> &m_arrivals;
     std::unique_ptr<IPolicy> m_policy;
     enginemodel::EngineFleet m_engines;
     std::vector<Outcome> m_outcomes;
--- a/bench/experiment/hindsight.cpp
+++ b/bench/experiment/hindsight.cpp
@@ -31,8 +31,6 @@
     Play made;
     made.outcomes = (*experiment)->run();
     for (std::size_t i = 0; i < arrivals.size(); ++i) {
-        // The experiment's own copy of the arrivals ends with it.
-        made.outcomes[i].arrival = &arrivals[i];
         made.earned += made.outcomes[i].earned(workload.classes[arrivals[i].promptClass]);
     }
     return made;
--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -56,10 +56,6 @@
     }
     const auto experiment = Experiment::make(workload, task.policy, task.arrivals, task.seed);
     auto outcomes = (*experiment)->run();
-    for (std::size_t i = 0; i < outcomes.size(); ++i) {
-        // The experiment's own copy of the arrivals ends with it.
-        outcomes[i].arrival = &task.arrivals[i];
-    }
     busyShare = (*experiment)->busyShare();
     return outcomes;
 }
@@ -117,7 +113,8 @@
     const double seconds = args["seconds"].as<double>();
     std::vector<Task> tasks;
     for (const std::string &policy : policies) {
-        const auto known = Experiment::make(*workload, policy, {}, 1);
+        const std::vector<Arrival> none;
+        const auto known = Experiment::make(*workload, policy, none, 1);
         if (!known && policy != hindsight) {
             std::cerr << "magnolia-experiment: " << known.error().detail << '\n';
             return exitUsage;
--- a/bench/experiment/tests/experimenttests.cpp
+++ b/bench/experiment/tests/experimenttests.cpp
@@ -44,7 +44,8 @@
     const Workload workload = readShipped("mixed");
     for (const std::string &policy : policyNames()) {
         INFO(policy);
-        auto experiment = Experiment::make(workload, policy, makeArrivals(workload, seconds, 1), 1);
+        const auto arrivals = makeArrivals(workload, seconds, 1);
+        auto experiment = Experiment::make(workload, policy, arrivals, 1);
         REQUIRE(experiment);
         for (const bench::Outcome &it : (*experiment)->run()) {
             CHECK((it.isDone() || it.isGivenUp));
@@ -62,7 +63,8 @@
 TEST_CASE("an unknown policy is an error")
 {
     const Workload workload = readShipped("mixed");
-    const auto made = Experiment::make(workload, "best", {}, 1);
+    const std::vector<Arrival> none;
+    const auto made = Experiment::make(workload, "best", none, 1);
     REQUIRE_FALSE(made);
     CHECK(made.error().code == ResultCode::SettingsInvalid);
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -109,6 +109,15 @@
     bool isEnded = false;
 };
 
+GatewayPorts makePorts(FakeStore &store, const FakeDecoder &decoder)
+{
+    return {store, decoder,
+        [](const std::vector<std::string> &addresses, Milliseconds) {
+            return addresses.front();
+        },
+        nullptr};
+}
+
 std::string freeAddress()
 {
     Poco::Net::ServerSocket socket;
@@ -132,13 +141,7 @@
     settings.paths.locate = "/locate";
     FakeStore store(fixture.loop);
     const FakeDecoder decoder(upstream.address());
-    Gateway gateway(fixture.loop, settings,
-        {store, decoder,
-            [](const std::vector<std::string> &addresses, Milliseconds) {
-                return addresses.front();
-            },
-            nullptr},
-        3);
+    Gateway gateway(fixture.loop, settings, makePorts(store, decoder), 3);
     REQUIRE(gateway.start());
     const auto answerTo = [&](const std::string &address, const std::string &path) {
         Client client(fixture.loop, address);
@@ -184,13 +187,7 @@
     settings.stopTime = Milliseconds(4000);
     FakeStore store(fixture.loop);
     const FakeDecoder decoder(upstream.address());
-    Gateway gateway(fixture.loop, settings,
-        {store, decoder,
-            [](const std::vector<std::string> &addresses, Milliseconds) {
-                return addresses.front();
-            },
-            nullptr},
-        3);
+    Gateway gateway(fixture.loop, settings, makePorts(store, decoder), 3);
     REQUIRE(gateway.start());
 
     Client ready(fixture.loop, settings.readinessAddress);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -461,7 +461,7 @@
 {
     for (const auto &it : m_gateways) {
         const std::string key = "restart " + it->processName();
-        if (m_mayRestart && !it->isRunning() && m_held.insert(key).second) {
+        if (!it->isRunning() && m_held.insert(key).second) {
             m_loop.after(restartPause, [&gateway = *it] {
                 gateway.start();
             });
@@ -539,7 +539,6 @@
             });
         },
         [this] {
-            m_mayRestart = false;
             m_loop.stop();
         });
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -92,8 +92,6 @@
     std::uint64_t m_version = 1;
     int m_nextId = 1;
     std::size_t m_nextDirectory = 0;
-    bool m_isEnding = false;
-    bool m_mayRestart = true;
     // Last answers of the gauges, by gateway; nothing where they were not told yet.
     std::vector<std::optional<double>> m_leftOvers;
     std::vector<bool> m_isReady;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -40,11 +40,6 @@
     return m_record != nullptr;
 }
 
-int SoakCaller::requests() const
-{
-    return m_requests;
-}
-
 void SoakCaller::next(Milliseconds atLeast)
 {
     const Milliseconds pause
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -39,8 +39,6 @@
     void start();
     void stop();
     [[nodiscard]] bool isBusy() const;
-    /** Requests made so far. */
-    [[nodiscard]] int requests() const;
 
     void onConnected() override;
     void onInput() override;
--- a/tests/soak/soakstore.cpp
+++ b/tests/soak/soakstore.cpp
@@ -102,24 +102,13 @@
     m_historyFrom = m_revision;
 }
 
-SoakStore::Mode SoakStore::mode() const
-{
-    return m_mode;
-}
-
 std::string SoakStore::address() const
 {
     return m_listener->address();
 }
 
-std::uint64_t SoakStore::calls() const
-{
-    return m_calls;
-}
-
 void SoakStore::serve(const std::shared_ptr<ServedConnection> &connection, const Request &request)
 {
-    ++m_calls;
     if (m_mode == Mode::Busy) {
         connection->answer(503, {}, {});
         return;
--- a/tests/soak/soakstore.h
+++ b/tests/soak/soakstore.h
@@ -34,10 +34,7 @@
     void setMode(Mode mode);
     /** History before now is gone. */
     void forgetHistory();
-    /** When the last trouble of the store ended; it is in trouble now where its mode is not Serving. */
-    [[nodiscard]] Mode mode() const;
     [[nodiscard]] std::string address() const;
-    [[nodiscard]] std::uint64_t calls() const;
 
 private:
     struct Change
@@ -66,7 +63,6 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_historyFrom = 10;
     std::vector<std::shared_ptr<Watch>> m_watches;
-    std::uint64_t m_calls = 0;
 };
 
 } // namespace magnolia::soak
