Gateway: callers that connect during a start wait for the configuration; one formatter of Retry-After

Cause: an instance opened its caller port some 25 ms before the store or a peer had told it the configuration. Change: the caller and the directory port listen from the start, but connections are accepted when the instance is ready, after 300 ms at the latest; then callers are refused as before. With the hold at 0 ms the new test fails (503 instead of 200). Retry-After was "0." and the milliseconds, which was wrong outside 100 to 999 ms.

--- a/src/gateway/internal/callerhandler.cpp
+++ b/src/gateway/internal/callerhandler.cpp
@@ -5,6 +5,7 @@
 #include "framework/logging/log.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/retryafter.h"
 #include "gateway/iresponsewriter.h"
 #include "limits/backoff.h"
 
@@ -80,7 +81,7 @@
     }
     if (status == 503) {
         const auto wait = limits::jitteredRetryAfter(startupTime, m_context.random);
-        responseHead.fields.add(names.retryAfter, "0." + std::to_string(wait.count()));
+        responseHead.fields.add(names.retryAfter, writeRetryAfter(wait));
     }
     m_context.metrics.increment(
         "magnolia_gateway_requests_total", "outcome=\"refused\",status=\"" + std::to_string(status) + '"');
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/memoryreservation.h"
 #include "gateway/internal/reachabilityprobe.h"
+#include "gateway/internal/retryafter.h"
 #include "gateway/internal/upstreamcall.h"
 #include "gateway/iresponsewriter.h"
 #include "limits/backoff.h"
@@ -136,10 +137,7 @@
         head.fields.add(names.requestId, m_requestId);
     }
     if (retryAfter) {
-        const std::int64_t milliseconds = retryAfter->count();
-        std::string fraction = std::to_string(milliseconds % 1000);
-        fraction.insert(0, 3 - fraction.size(), '0');
-        head.fields.add(names.retryAfter, std::to_string(milliseconds / 1000) + '.' + fraction);
+        head.fields.add(names.retryAfter, writeRetryAfter(*retryAfter));
     }
     logOutcome(status == 503 ? "refused" : "failed", status, reason);
     m_isDone = true;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -31,6 +31,12 @@
 /** Interval at which store entries that were removed, perhaps only for a moment, are checked for expiry. */
 constexpr Milliseconds expiryCheckInterval{250};
 constexpr std::size_t maxControlConnections = 256;
+/**
+ * Time for which a starting instance leaves callers unanswered while it has no configuration. Callers with a cached
+ * address come at once and often have a single retry, which an immediate refusal would use up. Callers stop waiting
+ * after a third of their deadline; the shortest published deadline is 1 s.
+ */
+constexpr Milliseconds maxStartupHold{300};
 /** Published maximum number of addresses that callers use from one response. */
 constexpr std::size_t maxLocateAddresses = 64;
 /** The product's own path for the platform's directory request. */
@@ -91,6 +97,8 @@
     /** Responds to requests that need no operator access: readiness and caller addresses. */
     [[nodiscard]] ControlResponse respond(std::string_view path);
     [[nodiscard]] ControlResponse respondToOperator(std::string_view path);
+    /** Accepts the callers and directory requests that have connected since the start. */
+    void openToCallers();
     void expireEntries();
     void checkStop(MonoTime stopStartedAt);
 
@@ -105,6 +113,7 @@
     ControlHandler operatorHandler;
     std::vector<std::shared_ptr<Listener>> listeners;
     std::shared_ptr<Listener> callerListener;
+    std::shared_ptr<Listener> directoryListener;
     bool wasReady = false;
 };
 
@@ -207,6 +216,19 @@
         wasReady = isReadyNow;
         context.fleet->sendFullState();
     }
+    if (isReadyNow) {
+        openToCallers();
+    }
+}
+
+void Gateway::Parts::openToCallers()
+{
+    if (callerListener) {
+        callerListener->startAccepting();
+    }
+    if (directoryListener) {
+        directoryListener->startAccepting();
+    }
 }
 
 ControlResponse Gateway::Parts::respond(std::string_view path)
@@ -306,8 +328,16 @@
         if (auto started = listener->listen(address); !started) {
             return started;
         }
+        if (address == parts.settings.directoryAddress) {
+            parts.directoryListener = listener;
+        } else {
+            listener->startAccepting();
+        }
         parts.listeners.push_back(std::move(listener));
     }
+    parts.loop.after(maxStartupHold, [&parts] {
+        parts.openToCallers();
+    });
     if (auto started = parts.context.fleet->start(); !started) {
         return started;
     }
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -38,16 +38,26 @@
     } catch (const Poco::Exception &ex) {
         return makeError(ResultCode::ListenFailed, address + ": " + ex.displayText());
     }
-    m_isAccepting = true;
-    m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
+    m_isListening = true;
     return {};
 }
 
+void Listener::startAccepting()
+{
+    if (m_isListening && !m_isAccepting) {
+        m_isAccepting = true;
+        m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
+    }
+}
+
 void Listener::stopAccepting()
 {
     if (m_isAccepting) {
         m_isAccepting = false;
         m_loop.remove(m_socket.impl()->sockfd());
+    }
+    if (m_isListening) {
+        m_isListening = false;
         m_socket.close();
     }
 }
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -23,9 +23,13 @@
     Listener(eventloop::EventLoop &loop, IRequestHandler &handler, std::size_t maxConnections);
     ~Listener() override;
 
-    /** Listens on `address` (IP:PORT). Error: ListenFailed (9004). */
+    /**
+     * Listens on `address` (IP:PORT). Connections wait in the system's queue until startAccepting(). Error:
+     * ListenFailed (9004).
+     */
     [[nodiscard]] Result<void> listen(const std::string &address);
-    /** Stops accepting connections; open connections stay open. */
+    void startAccepting();
+    /** Closes the listening socket; open connections stay open. */
     void stopAccepting();
     /** Gracefully closes connections that have no request. */
     void closeIdleConnections();
@@ -43,6 +47,8 @@
     IRequestHandler &m_handler;
     std::size_t m_maxConnections;
     Poco::Net::ServerSocket m_socket;
+    bool m_isListening = false;
+    // Implies `m_isListening`.
     bool m_isAccepting = false;
     std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
 };
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -19,14 +19,15 @@
 class FakeStore : public published::IStoreClient
 {
 public:
-    explicit FakeStore(eventloop::EventLoop &loop)
+    explicit FakeStore(eventloop::EventLoop &loop, Milliseconds answerTime = Milliseconds{0})
         : m_loop(loop)
+        , m_answerTime(answerTime)
     {
     }
 
     void readPage(const std::string & /*afterKey*/, std::function<void(Result<published::StorePage>)> done) override
     {
-        m_loop.defer([done = std::move(done)] {
+        m_loop.after(m_answerTime, [done = std::move(done)] {
             published::StorePage page;
             page.items = {{"c", "1", 1, false}, {"u", "1", 2, false}};
             page.revision = 2;
@@ -40,6 +41,7 @@
 
 private:
     eventloop::EventLoop &m_loop;
+    Milliseconds m_answerTime;
 };
 
 /** Decodes a fixed configuration with the route "/a/", one service and one upstream. */
@@ -225,3 +227,60 @@
     CHECK(caller.received.ends_with("late but whole"));
     CHECK(upstream.requests.size() == 1);
 }
+
+TEST_CASE("callers that connect while the configuration is being read are served instead of refused")
+{
+    // After a restart callers with cached addresses connect before the store has answered.
+    GatewayFixture fixture;
+    const ScriptedUpstream &upstream = fixture.addUpstream(
+        "service", [&](ScriptedUpstream::Connection &connection, const std::string &request, int /*number*/) {
+            connection.send(plainResponse(request, 200, "whole"));
+        });
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    settings.readinessAddress = freeAddress();
+    settings.directoryAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    settings.paths.ready = "/ready";
+    settings.paths.locate = "/locate";
+    FakeStore store(fixture.loop, Milliseconds(60));
+    const FakeDecoder decoder(upstream.address());
+    Gateway gateway(fixture.loop, settings, makeDependencies(store, decoder), 3);
+    REQUIRE(gateway.start());
+    Client ready(fixture.loop, settings.readinessAddress);
+    ready.get("/ready");
+    Client caller(fixture.loop, settings.callerAddress);
+    caller.get("/a/x");
+    Client directory(fixture.loop, settings.directoryAddress);
+    directory.get("/locate");
+    fixture.runUntil([&] {
+        return !caller.received.empty() && !directory.received.empty();
+    });
+    CHECK(ready.received.starts_with("HTTP/1.1 503"));
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+    CHECK(caller.received.ends_with("whole"));
+    CHECK(directory.received.ends_with(settings.callerAddress));
+}
+
+TEST_CASE("an instance that receives no configuration refuses callers after a bounded time")
+{
+    GatewayFixture fixture;
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    FakeStore store(fixture.loop, Milliseconds(60'000));
+    const FakeDecoder decoder("127.0.0.1:1");
+    Gateway gateway(fixture.loop, settings, makeDependencies(store, decoder), 3);
+    REQUIRE(gateway.start());
+    Client caller(fixture.loop, settings.callerAddress);
+    caller.get("/a/x");
+    fixture.runUntil([&] {
+        return !caller.received.empty();
+    });
+    CHECK(caller.received.starts_with("HTTP/1.1 503"));
+    const double retryAfterSeconds = std::stod(headerField(caller.received, "Retry-After"));
+    CHECK(retryAfterSeconds >= 0.3);
+    CHECK(retryAfterSeconds <= 0.45);
+}
