Fleet: dead peers are found by probes

Cause: heartbeats are 20 ms a peer apart, 5.9 s at 295 instances, and a peer is silent after 3.2 of them. So the directory gave the addresses of dead instances for up to 19 s. Cells were counted at heartbeats only, some of which are seconds after a start. Change: each instance asks one random peer each 250 ms, and more while some do not answer. Who does not answer two questions is suspected; suspicions travel with questions and answers; the suspected one refutes by its full state. An instance that gets no answers at all suspects nobody. Cells are counted at the same interval. Messages have format 6.

--- /dev/null
+++ b/src/fleet/failuredetector.h
@@ -0,0 +1,95 @@
+// Finds dead peers by probes, as in SWIM (Das, Gupta, Motivala: "SWIM: scalable weakly-consistent infection-style
+// process group membership protocol", DSN 2002). It does no I/O: messages, time and random numbers are passed in.
+//
+// The heartbeats of hundreds of instances are seconds apart, so silence alone would leave dead instances in directory
+// answers for many seconds. Each instance probes one random peer at a time. Who does not answer twice is suspected, and
+// the suspicion spreads with the probes of all instances. The cost of an instance does not depend on the size of the
+// fleet.
+#pragma once
+
+#include "fleet/peertable.h"
+#include "fleet/types/probemessage.h"
+#include "framework/global/random.h"
+#include "framework/global/types/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnolia::fleet
+{
+
+struct FailureDetectorParameters
+{
+    /** Time between two calls of tick(), each of which asks a peer. */
+    Milliseconds probeInterval{250};
+    /** Upper bound of the peers that are asked at a time after others have not answered. */
+    std::size_t maxQuestionsPerTick = 5;
+    /** Time for an answer: a round trip of a few milliseconds and the pauses of an instance with an eighth of a core.
+     */
+    Milliseconds answerTimeout{240};
+    /** Questions without an answer after which a peer is suspected; single lost datagrams are tolerated. */
+    int maxTries = 2;
+    /** Time for which a suspicion is passed on, several times the time in which it reaches all instances. */
+    Milliseconds spreadTime{3000};
+    /** Upper bound of the suspicions in one message. */
+    std::size_t maxSuspicionsPerMessage = 64;
+    /** With more peers than this failing one after the other, this instance is considered cut off itself. */
+    std::size_t maxFailuresInSequence = 12;
+};
+
+class FailureDetector
+{
+public:
+    FailureDetector(
+        std::string self, std::uint64_t incarnation, PeerAddress ownAddress, FailureDetectorParameters parameters = {});
+
+    struct Outgoing
+    {
+        PeerAddress address;
+        ProbeMessage message;
+    };
+
+    /** Returns the questions to send now; to be called once per `probeInterval`. */
+    [[nodiscard]] std::vector<Outgoing> tick(const PeerTable &table, MonoTime now, Random &random);
+    /** Records a question or an answer in `table`; returns the answer to a question. */
+    [[nodiscard]] std::optional<Outgoing> onMessage(
+        const ProbeMessage &message, PeerTable &table, MonoTime now, Random &random);
+    /** Whether a peer has spread a suspicion against this instance since the last call. */
+    [[nodiscard]] bool takeIsSuspected();
+    [[nodiscard]] Milliseconds probeInterval() const;
+
+private:
+    struct OpenQuestion
+    {
+        std::string instance;
+        std::uint64_t incarnation = 0;
+        PeerAddress address;
+        MonoTime sentAt{};
+        int tries = 0;
+    };
+    struct KnownFailure
+    {
+        std::string instance;
+        std::uint64_t incarnation = 0;
+        MonoTime failedAt{};
+    };
+
+    [[nodiscard]] ProbeMessage makeMessage(MonoTime now, Random &random) const;
+    void suspect(const KnownFailure &failure, PeerTable &table);
+
+    std::string m_self;
+    std::uint64_t m_incarnation;
+    PeerAddress m_ownAddress;
+    FailureDetectorParameters m_parameters;
+    std::vector<OpenQuestion> m_openQuestions;
+    // Failures since the last answer of any peer. They become suspicions with the next answer, which shows that this
+    // instance is not cut off itself.
+    std::vector<KnownFailure> m_unconfirmed;
+    // Suspicions that are passed on.
+    std::vector<KnownFailure> m_suspicions;
+    bool m_isSuspected = false;
+};
+
+} // namespace magnolia::fleet
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -1,6 +1,7 @@
 // Carries the messages between instances: datagrams for current state, a connection for the whole published state.
 #pragma once
 
+#include "fleet/failuredetector.h"
 #include "fleet/ifleetdelegate.h"
 #include "fleet/peertable.h"
 #include "fleet/types/peermessage.h"
@@ -70,8 +71,11 @@
     void flushBatch();
     void scheduleBatch();
     void sendHeartbeat();
+    void probePeers();
+    void reportSilentPeers();
     void updateCellCount();
     void handleDatagram(std::string_view bytes);
+    void handleProbe(std::string_view bytes);
     void scheduleFetch(const Peer &peer);
     void fetch(const Peer &from);
 
@@ -79,6 +83,10 @@
     FleetLinkSettings m_settings;
     IFleetDelegate &m_delegate;
     PeerTable m_table;
+    FailureDetector m_detector;
+    Random m_random;
+    // Time of the last full state that was sent because peers suspected this instance.
+    MonoTime m_refutedAt{};
     Poco::Net::DatagramSocket m_socket;
     std::shared_ptr<SnapshotServer> m_server;
     std::shared_ptr<SnapshotCall> m_call;
--- /dev/null
+++ b/src/fleet/internal/failuredetector.cpp
@@ -0,0 +1,135 @@
+// Implements the detection of dead peers.
+#include "fleet/failuredetector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnolia::fleet
+{
+
+FailureDetector::FailureDetector(
+    std::string self, std::uint64_t incarnation, PeerAddress ownAddress, FailureDetectorParameters parameters)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_ownAddress(std::move(ownAddress))
+    , m_parameters(parameters)
+{
+}
+
+std::vector<FailureDetector::Outgoing> FailureDetector::tick(const PeerTable &table, MonoTime now, Random &random)
+{
+    std::erase_if(m_suspicions, [&](const KnownFailure &it) {
+        return now - it.failedAt > m_parameters.spreadTime;
+    });
+    std::vector<Outgoing> outgoing;
+    const auto ask = [&](OpenQuestion &question) {
+        question.sentAt = now;
+        ++question.tries;
+        outgoing.push_back({question.address, makeMessage(now, random)});
+    };
+    // Where one peer is dead, others may be as well, so each missing answer leads to a further question.
+    std::size_t newQuestions = 1;
+    for (OpenQuestion &it : m_openQuestions) {
+        if (now - it.sentAt < m_parameters.answerTimeout) {
+            continue;
+        }
+        newQuestions = std::min(newQuestions + 1, m_parameters.maxQuestionsPerTick);
+        if (it.tries < m_parameters.maxTries) {
+            ask(it);
+        } else {
+            m_unconfirmed.push_back({it.instance, it.incarnation, now});
+        }
+    }
+    std::erase_if(m_openQuestions, [&](const OpenQuestion &it) {
+        return now - it.sentAt >= m_parameters.answerTimeout;
+    });
+    if (m_unconfirmed.size() > m_parameters.maxFailuresInSequence) {
+        m_unconfirmed.clear();
+    }
+    std::vector<const Peer *> live;
+    for (const auto &[name, peer] : table.peers()) {
+        const bool isAsked = std::any_of(m_openQuestions.begin(), m_openQuestions.end(), [&](const OpenQuestion &it) {
+            return it.instance == name;
+        });
+        if (!isAsked && !table.isSilent(peer, now)) {
+            live.push_back(&peer);
+        }
+    }
+    for (std::size_t i = 0; i < newQuestions && !live.empty(); ++i) {
+        const std::size_t n = random.below(live.size());
+        const Peer &chosen = *live[n];
+        live.erase(live.begin() + static_cast<std::ptrdiff_t>(n));
+        m_openQuestions.push_back({chosen.instance, chosen.incarnation, chosen.address, {}, 0});
+        ask(m_openQuestions.back());
+    }
+    return outgoing;
+}
+
+std::optional<FailureDetector::Outgoing> FailureDetector::onMessage(
+    const ProbeMessage &message, PeerTable &table, MonoTime now, Random &random)
+{
+    const auto sender = table.peers().find(message.instance);
+    const bool wasSuspected = sender != table.peers().end() && sender->second.isSuspected;
+    table.recordAnswer(message.instance, message.incarnation, now);
+    for (const Suspicion &it : message.suspicions) {
+        if (it.instance == m_self) {
+            m_isSuspected = m_isSuspected || it.incarnation == m_incarnation;
+        } else {
+            suspect({it.instance, it.incarnation, now - Milliseconds(it.ageMs)}, table);
+        }
+    }
+    if (!message.isAnswer) {
+        Outgoing answer{message.address, makeMessage(now, random)};
+        answer.message.isAnswer = true;
+        if (wasSuspected) {
+            // Lets the sender refute the suspicion where it is no longer passed on.
+            answer.message.suspicions.push_back({message.instance, message.incarnation, 0});
+        }
+        return answer;
+    }
+    const std::size_t answered = std::erase_if(m_openQuestions, [&](const OpenQuestion &it) {
+        return it.instance == message.instance && it.incarnation == message.incarnation;
+    });
+    if (answered > 0) {
+        for (const KnownFailure &it : std::exchange(m_unconfirmed, {})) {
+            suspect(it, table);
+        }
+    }
+    return std::nullopt;
+}
+
+void FailureDetector::suspect(const KnownFailure &failure, PeerTable &table)
+{
+    if (table.suspect(failure.instance, failure.incarnation, failure.failedAt)) {
+        m_suspicions.push_back(failure);
+    }
+}
+
+bool FailureDetector::takeIsSuspected()
+{
+    return std::exchange(m_isSuspected, false);
+}
+
+Milliseconds FailureDetector::probeInterval() const
+{
+    return m_parameters.probeInterval;
+}
+
+ProbeMessage FailureDetector::makeMessage(MonoTime now, Random &random) const
+{
+    ProbeMessage message;
+    message.instance = m_self;
+    message.incarnation = m_incarnation;
+    message.address = m_ownAddress;
+    // After the loss of many instances each message carries some of the suspicions, from a random one on.
+    const std::size_t first = random.below(m_suspicions.size());
+    for (std::size_t i = 0; i < std::min(m_suspicions.size(), m_parameters.maxSuspicionsPerMessage); ++i) {
+        const KnownFailure &it = m_suspicions[(first + i) % m_suspicions.size()];
+        const std::int64_t age = toMilliseconds(now - it.failedAt).count();
+        message.suspicions.push_back(
+            {it.instance, it.incarnation, static_cast<std::uint32_t>(std::max<std::int64_t>(0, age))});
+    }
+    return message;
+}
+
+} // namespace magnolia::fleet
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -38,6 +38,8 @@
 constexpr Milliseconds fetchRetryDelay{120};
 /** Time limit for the receipt of a snapshot. */
 constexpr Milliseconds fetchTimeout{3000};
+/** Minimum time between two messages by which this instance refutes suspicions against itself. */
+constexpr Milliseconds minRefutationInterval{1000};
 constexpr std::size_t maxSnapshotSize = 32 * 1024 * 1024;
 constexpr eventloop::TcpTimeouts peerTcpTimeouts{Milliseconds{1000}, Milliseconds{1000}, 2, Milliseconds{1500}};
 
@@ -183,6 +185,8 @@
     , m_settings(std::move(settings))
     , m_delegate(delegate)
     , m_table(m_settings.instance, m_settings.address, m_settings.seeds)
+    , m_detector(m_settings.instance, m_settings.incarnation, m_settings.address)
+    , m_random(stableHash(m_settings.instance, m_settings.incarnation))
     , m_server(std::make_shared<SnapshotServer>(loop, delegate))
 {
 }
@@ -198,6 +202,7 @@
     }
     m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
     sendHeartbeat();
+    probePeers();
     return {};
 }
 
@@ -360,6 +365,14 @@
     m_table.prune(m_loop.now());
     updateCellCount();
     sendFullState();
+    reportSilentPeers();
+    m_loop.after(m_table.heartbeatInterval(), [self = shared_from_this()] {
+        self->sendHeartbeat();
+    });
+}
+
+void FleetLink::reportSilentPeers()
+{
     const MonoTime now = m_loop.now();
     for (const auto &[name, peer] : m_table.peers()) {
         if (!m_table.isSilent(peer, now)) {
@@ -367,15 +380,46 @@
         } else if (m_silentPeers.insert(name).second) {
             logging::write(logging::Level::Warning, "fleet", "peer_silent",
                 {{"peer", std::string_view(name)},
-                    {"silent_ms", std::int64_t{toMilliseconds(now - peer.lastHeardAt).count()}}});
+                    {"silent_ms", std::int64_t{toMilliseconds(now - peer.lastHeardAt).count()}},
+                    {"suspected", peer.isSuspected}});
             m_delegate.onPeerLost(name);
         }
     }
-    m_loop.after(m_table.heartbeatInterval(), [self = shared_from_this()] {
-        self->sendHeartbeat();
+}
+
+void FleetLink::probePeers()
+{
+    if (m_isStopped) {
+        return;
+    }
+    for (const FailureDetector::Outgoing &it : m_detector.tick(m_table, m_loop.now(), m_random)) {
+        sendTo(it.address, peerlink::encode(it.message));
+    }
+    reportSilentPeers();
+    updateCellCount();
+    m_loop.after(m_detector.probeInterval(), [self = shared_from_this()] {
+        self->probePeers();
     });
 }
 
+void FleetLink::handleProbe(std::string_view bytes)
+{
+    const auto message = peerlink::decode<ProbeMessage>(bytes);
+    if (!message) {
+        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+        return;
+    }
+    if (const auto answer = m_detector.onMessage(*message, m_table, m_loop.now(), m_random)) {
+        sendTo(answer->address, peerlink::encode(answer->message));
+    }
+    if (m_detector.takeIsSuspected() && m_loop.now() - m_refutedAt > minRefutationInterval) {
+        m_refutedAt = m_loop.now();
+        logging::write(
+            logging::Level::Info, "fleet", "suspicion_refuted", {{"told_by", std::string_view(message->instance)}});
+        sendFullState();
+    }
+}
+
 void FleetLink::updateCellCount()
 {
     const std::size_t live = m_table.liveInstanceCount(m_loop.now());
@@ -419,6 +463,11 @@
 
 void FleetLink::handleDatagram(std::string_view bytes)
 {
+    // The format follows the byte order mark in both kinds of datagrams.
+    if (bytes.size() > 1 && static_cast<std::uint8_t>(bytes[1]) == ProbeMessage::currentFormat) {
+        handleProbe(bytes);
+        return;
+    }
     const auto message = peerlink::decode<PeerMessage>(bytes);
     if (!message || message->format != PeerMessage::currentFormat) {
         logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -60,9 +60,30 @@
     peer.configurationVersion = message.configurationVersion;
     peer.storeRevision = message.storeRevision;
     peer.lastHeardAt = now;
+    peer.isSuspected = false;
     return UpdateResult::Updated;
 }
 
+void PeerTable::recordAnswer(const std::string &instance, std::uint64_t incarnation, MonoTime now)
+{
+    const auto known = m_peers.find(instance);
+    if (known != m_peers.end() && known->second.incarnation == incarnation) {
+        known->second.lastHeardAt = now;
+        known->second.isSuspected = false;
+    }
+}
+
+bool PeerTable::suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt)
+{
+    const auto known = m_peers.find(instance);
+    if (known == m_peers.end() || known->second.incarnation != incarnation || known->second.isSuspected
+        || known->second.lastHeardAt > failedAt) {
+        return false;
+    }
+    known->second.isSuspected = true;
+    return true;
+}
+
 void PeerTable::prune(MonoTime now)
 {
     std::erase_if(m_peers, [&](const auto &it) {
@@ -99,6 +120,9 @@
 
 bool PeerTable::isSilent(const Peer &peer, MonoTime now) const
 {
+    if (peer.isSuspected) {
+        return true;
+    }
     const double limit = m_parameters.silentAfterIntervals * static_cast<double>(heartbeatInterval().count());
     return std::chrono::duration<double, std::milli>(now - peer.lastHeardAt).count() > limit;
 }
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -41,6 +41,8 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t storeRevision = 0;
     MonoTime lastHeardAt{};
+    /** Whether the peer did not answer a probe since it was last heard. */
+    bool isSuspected = false;
 };
 
 class PeerTable
@@ -60,6 +62,11 @@
     /** Records the state of the peer that sent the message. */
     UpdateResult update(const PeerMessage &message, MonoTime now);
 
+    /** Records that this run of a peer has answered a probe. */
+    void recordAnswer(const std::string &instance, std::uint64_t incarnation, MonoTime now);
+    /** Marks this run of a peer as silent unless it was heard after `failedAt`; returns whether that is new. */
+    bool suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt);
+
     /** Removes peers and addresses without news for `forgetAfter`, so that replaced peers do not fill the table. */
     void prune(MonoTime now);
 
--- a/src/fleet/types/peermessage.h
+++ b/src/fleet/types/peermessage.h
@@ -76,7 +76,7 @@
 struct PeerMessage
 {
     /** Receivers ignore messages of any other format. */
-    static constexpr std::uint8_t currentFormat = 5;
+    static constexpr std::uint8_t currentFormat = 6;
 
     std::uint8_t format = currentFormat;
     std::string instance;
--- /dev/null
+++ b/src/fleet/types/probemessage.h
@@ -0,0 +1,52 @@
+// The datagram by which instances check each other: a question or its answer, with what the sender knows of dead peers.
+#pragma once
+
+#include "fleet/types/peermessage.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace magnolia::fleet
+{
+
+/** States that a run of an instance has not answered. */
+struct Suspicion
+{
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    /** Time since the instance failed to answer. An age is sent because the clocks of instances are not synchronised.
+     */
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, incarnation, ageMs);
+    }
+};
+
+struct ProbeMessage
+{
+    /** Distinguishes this datagram from a PeerMessage, which has its format at the same position. */
+    static constexpr std::uint8_t currentFormat = 101;
+
+    std::uint8_t format = currentFormat;
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    /** Address to which a question is answered. */
+    PeerAddress address;
+    bool isAnswer = false;
+    std::vector<Suspicion> suspicions;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(format, instance, incarnation, address, isAnswer, suspicions);
+    }
+};
+
+} // namespace magnolia::fleet
