--- a/bench/experiment/policies.cpp
+++ b/bench/experiment/policies.cpp
@@ -42,6 +42,7 @@
         engineByHash[stableHash("engine-" + std::to_string(i))] = i;
     }
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(engineByHash.size());
     for (const auto &[hash, engine] : engineByHash) {
         hashes.push_back(hash);
     }
--- a/src/fleet/failuredetector.h
+++ b/src/fleet/failuredetector.h
@@ -56,6 +56,10 @@
     /** Records a question or an answer in `table`; returns the answer to a question. */
     [[nodiscard]] std::optional<Outgoing> onMessage(
         const ProbeMessage &message, PeerTable &table, MonoTime now, Random &random);
+    /** Sets the version of the published state that the messages of this instance state. */
+    void setPublishedState(std::uint64_t configurationVersion, std::uint64_t storeRevision);
+    /** Returns a message that needs no answer, for peers that should learn of a new published state at once. */
+    [[nodiscard]] ProbeMessage makeNotice(MonoTime now, Random &random) const;
     /** Whether a peer has spread a suspicion against this instance since the last call. */
     [[nodiscard]] bool takeIsSuspected();
     [[nodiscard]] Milliseconds probeInterval() const;
@@ -90,6 +94,8 @@
     // Suspicions that are passed on.
     std::vector<KnownFailure> m_suspicions;
     bool m_isSuspected = false;
+    std::uint64_t m_configurationVersion = 0;
+    std::uint64_t m_storeRevision = 0;
 };
 
 } // namespace magnolia::fleet
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -45,8 +45,13 @@
     void announceDecoding(std::uint64_t id);
     /** Announces the end of a placement within `batchDelay`. */
     void announceEnd(const PlacementEnd &end);
-    /** Sends a full-state message to all targets at once, for a change of readiness, leaving or the configuration. */
+    /** Sends a full-state message to all targets at once, for a change of readiness or leaving. */
     void sendFullState();
+    /**
+     * Tells a few random peers that this instance has a newer published state. Who is behind fetches it and tells
+     * others in turn; told to all by all, each change would cost as many messages as there are pairs of instances.
+     */
+    void announcePublishedState();
 
     [[nodiscard]] const PeerTable &table() const;
     /** Returns the number of live instances in each cell of the fleet as this instance sees it. */
@@ -77,6 +82,8 @@
     void handleDatagram(std::string_view bytes);
     void handleProbe(std::string_view bytes);
     void scheduleFetch(const Peer &peer);
+    /** Returns a live peer of the own data centre that has what `peer` has, or `peer` if there is none. */
+    [[nodiscard]] Peer nearestSource(const Peer &peer);
     void fetch(const Peer &from);
 
     eventloop::EventLoop &m_loop;
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -47,9 +47,10 @@
         m_unconfirmed.clear();
     }
     std::vector<const Peer *> live;
-    for (const auto &[name, peer] : table.peers()) {
+    for (const auto &entry : table.peers()) {
+        const Peer &peer = entry.second;
         const bool isAsked = std::any_of(m_openQuestions.begin(), m_openQuestions.end(), [&](const OpenQuestion &it) {
-            return it.instance == name;
+            return it.instance == peer.instance;
         });
         if (!isAsked && !table.isSilent(peer, now)) {
             live.push_back(&peer);
@@ -70,7 +71,7 @@
 {
     const auto sender = table.peers().find(message.instance);
     const bool wasSuspected = sender != table.peers().end() && sender->second.isSuspected;
-    table.recordAnswer(message.instance, message.incarnation, now);
+    table.recordProbe(message, now);
     for (const Suspicion &it : message.suspicions) {
         if (it.instance == m_self) {
             m_isSuspected = m_isSuspected || it.incarnation == m_incarnation;
@@ -105,6 +106,19 @@
     }
 }
 
+void FailureDetector::setPublishedState(std::uint64_t configurationVersion, std::uint64_t storeRevision)
+{
+    m_configurationVersion = configurationVersion;
+    m_storeRevision = storeRevision;
+}
+
+ProbeMessage FailureDetector::makeNotice(MonoTime now, Random &random) const
+{
+    ProbeMessage message = makeMessage(now, random);
+    message.isAnswer = true;
+    return message;
+}
+
 bool FailureDetector::takeIsSuspected()
 {
     return std::exchange(m_isSuspected, false);
@@ -121,6 +135,8 @@
     message.instance = m_self;
     message.incarnation = m_incarnation;
     message.address = m_ownAddress;
+    message.configurationVersion = m_configurationVersion;
+    message.storeRevision = m_storeRevision;
     // After the loss of many instances each message carries some of the suspicions, from a random one on.
     const std::size_t first = random.below(m_suspicions.size());
     for (std::size_t i = 0; i < std::min(m_suspicions.size(), m_parameters.maxSuspicionsPerMessage); ++i) {
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -38,6 +38,9 @@
 constexpr Milliseconds fetchRetryDelay{120};
 /** Time limit for the receipt of a snapshot. */
 constexpr Milliseconds fetchTimeout{3000};
+/** Peers that are told at once of a new published state; with most instances up to date, hardly any peer is left out.
+ */
+constexpr std::size_t peersToldOfChange = 8;
 /** Minimum time between two messages by which this instance refutes suspicions against itself. */
 constexpr Milliseconds minRefutationInterval{1000};
 constexpr std::size_t maxSnapshotSize = 32 * 1024 * 1024;
@@ -356,6 +359,25 @@
     }
 }
 
+void FleetLink::announcePublishedState()
+{
+    const OwnState own = m_delegate.ownState();
+    m_detector.setPublishedState(own.configurationVersion, own.storeRevision);
+    std::vector<const Peer *> live;
+    for (const auto &[name, peer] : m_table.peers()) {
+        if (!m_table.isSilent(peer, m_loop.now())) {
+            live.push_back(&peer);
+        }
+    }
+    const std::string bytes = peerlink::encode(m_detector.makeNotice(m_loop.now(), m_random));
+    for (std::size_t i = 0; i < peersToldOfChange && !live.empty(); ++i) {
+        const std::size_t n = m_random.below(live.size());
+        sendTo(live[n]->address, bytes);
+        live[n] = live.back();
+        live.pop_back();
+    }
+}
+
 void FleetLink::sendHeartbeat()
 {
     if (m_isStopped) {
@@ -392,6 +414,8 @@
     if (m_isStopped) {
         return;
     }
+    const OwnState own = m_delegate.ownState();
+    m_detector.setPublishedState(own.configurationVersion, own.storeRevision);
     for (const FailureDetector::Outgoing &it : m_detector.tick(m_table, m_loop.now(), m_random)) {
         sendTo(it.address, peerlink::encode(it.message));
     }
@@ -418,6 +442,10 @@
             logging::Level::Info, "fleet", "suspicion_refuted", {{"told_by", std::string_view(message->instance)}});
         sendFullState();
     }
+    const auto peer = m_table.peers().find(message->instance);
+    if (peer != m_table.peers().end() && peer->second.incarnation == message->incarnation) {
+        scheduleFetch(peer->second);
+    }
 }
 
 void FleetLink::updateCellCount()
@@ -511,11 +539,23 @@
         self->m_fetchTimer = 0;
         // Since the fetch was scheduled, the state may have come from the store.
         if (!self->m_isStopped && isFetchNeeded(self->m_delegate.ownState(), peer, now)) {
-            self->fetch(peer);
+            self->fetch(self->nearestSource(peer));
         }
     });
 }
 
+Peer FleetLink::nearestSource(const Peer &peer)
+{
+    std::vector<const Peer *> near;
+    for (const auto &[name, it] : m_table.peers()) {
+        if (it.dataCentre == m_settings.dataCentre && it.storeRevision >= peer.storeRevision
+            && it.configurationVersion >= peer.configurationVersion && !m_table.isSilent(it, m_loop.now())) {
+            near.push_back(&it);
+        }
+    }
+    return near.empty() ? peer : *near[m_random.below(near.size())];
+}
+
 void FleetLink::fetch(const Peer &from)
 {
     const OwnState own = m_delegate.ownState();
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -64,13 +64,18 @@
     return UpdateResult::Updated;
 }
 
-void PeerTable::recordAnswer(const std::string &instance, std::uint64_t incarnation, MonoTime now)
+void PeerTable::recordProbe(const ProbeMessage &message, MonoTime now)
 {
-    const auto known = m_peers.find(instance);
-    if (known != m_peers.end() && known->second.incarnation == incarnation) {
-        known->second.lastHeardAt = now;
-        known->second.isSuspected = false;
+    const auto known = m_peers.find(message.instance);
+    if (known == m_peers.end() || known->second.incarnation != message.incarnation) {
+        return;
     }
+    Peer &peer = known->second;
+    peer.lastHeardAt = now;
+    peer.isSuspected = false;
+    // Neither goes back within one run; an earlier datagram may arrive later.
+    peer.configurationVersion = std::max(peer.configurationVersion, message.configurationVersion);
+    peer.storeRevision = std::max(peer.storeRevision, message.storeRevision);
 }
 
 bool PeerTable::suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt)
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "fleet/types/peermessage.h"
+#include "fleet/types/probemessage.h"
 #include "framework/global/types/time.h"
 
 #include <map>
@@ -62,8 +63,8 @@
     /** Records the state of the peer that sent the message. */
     UpdateResult update(const PeerMessage &message, MonoTime now);
 
-    /** Records that this run of a peer has answered a probe. */
-    void recordAnswer(const std::string &instance, std::uint64_t incarnation, MonoTime now);
+    /** Records a probe or an answer of this run of a peer, and what it has of the published state. */
+    void recordProbe(const ProbeMessage &message, MonoTime now);
     /** Marks this run of a peer as silent unless it was heard after `failedAt`; returns whether that is new. */
     bool suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt);
 
--- a/src/fleet/tests/failuredetectortests.cpp
+++ b/src/fleet/tests/failuredetectortests.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -15,6 +16,8 @@
 {
 
 constexpr Milliseconds delay{3};
+/** The wait for the store's own answer, and the transfer of a snapshot. */
+constexpr Milliseconds fetchTime{250};
 
 /** Instances that know each other, with their heartbeats and probes. */
 class ProbingFleet
@@ -69,6 +72,24 @@
         }
         return count;
     }
+    /** Lets an instance have a new configuration, which it announces. */
+    void setConfiguration(std::size_t node, std::uint64_t version)
+    {
+        Node &it = *m_nodes[node];
+        it.version = version;
+        it.detector.setPublishedState(version, version);
+        constexpr std::size_t announcedTo = 8;
+        for (std::size_t i = 0; i < announcedTo; ++i) {
+            const std::size_t other = m_schedule.random().below(m_nodes.size());
+            send(it, {addressOf(other), it.detector.makeNotice(m_schedule.now(), m_schedule.random())});
+        }
+    }
+    [[nodiscard]] std::size_t countWithConfiguration(std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto &it) {
+            return it->version >= version;
+        }));
+    }
     [[nodiscard]] std::size_t sentBytes() const
     {
         return m_sentBytes;
@@ -88,6 +109,8 @@
         PeerTable table;
         FailureDetector detector;
         bool isReachable = true;
+        std::uint64_t version = 0;
+        bool isFetching = false;
     };
 
     static std::string nameOf(std::size_t i)
@@ -137,6 +160,20 @@
             if (to.detector.takeIsSuspected()) {
                 sendFullState(to);
             }
+            fetchIfBehind(from, to);
+        });
+    }
+
+    void fetchIfBehind(const Node &from, Node &to)
+    {
+        const auto peer = to.table.peers().find(nameOf(from.index));
+        if (peer == to.table.peers().end() || peer->second.configurationVersion <= to.version || to.isFetching) {
+            return;
+        }
+        to.isFetching = true;
+        m_schedule.after(fetchTime, [this, &to, version = peer->second.configurationVersion] {
+            to.isFetching = false;
+            setConfiguration(to.index, version);
         });
     }
 
@@ -152,7 +189,10 @@
     {
         for (const auto &it : m_nodes) {
             if (node.isReachable && it->isReachable && !m_schedule.random().chance(m_loss)) {
-                it->table.recordAnswer(nameOf(node.index), 1, m_schedule.now() + delay);
+                ProbeMessage message;
+                message.instance = nameOf(node.index);
+                message.incarnation = 1;
+                it->table.recordProbe(message, m_schedule.now() + delay);
             }
         }
     }
@@ -279,3 +319,17 @@
     // Probes alone add no peers.
     CHECK(table.peers().empty());
 }
+
+TEST_CASE("a configuration that some instances have read from the store reaches all others within two seconds")
+{
+    // The store may turn away most instances.
+    ProbingFleet fleet(295);
+    const std::size_t readerCount = GENERATE(1, 15, 190);
+    fleet.run(Milliseconds(1000));
+    for (std::size_t i = 0; i < readerCount; ++i) {
+        fleet.setConfiguration(i, 7);
+    }
+    fleet.run(Milliseconds(2000));
+    INFO(readerCount << " readers");
+    CHECK(fleet.countWithConfiguration(7) == 295);
+}
--- a/src/fleet/tests/fleetlinktests.cpp
+++ b/src/fleet/tests/fleetlinktests.cpp
@@ -1,11 +1,17 @@
 // Tests of the exchange between instances over real sockets.
 #include "fleet/fleetlink.h"
 #include "framework/eventloop/tcpstream.h"
+#include "peerlink/binarycodec.h"
 
 #include <catch2/catch.hpp>
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <array>
+#include <vector>
+
 using namespace magnolia;
 using namespace magnolia::fleet;
 
@@ -113,3 +119,64 @@
     CHECK(servedCount == expectedServed);
     link->stop();
 }
+
+TEST_CASE("a new published state is announced to a few peers, however many there are")
+{
+    // Told to all by all, a change at 295 instances cost 87,000 messages.
+    eventloop::EventLoop loop;
+    FakeDelegate delegate;
+    FleetLinkSettings settings;
+    settings.instance = "a";
+    settings.address = {"127.0.0.1", freePort()};
+    settings.callerAddress = "127.0.0.1:1";
+    const auto link = std::make_shared<FleetLink>(loop, settings, delegate);
+    REQUIRE(link->start());
+    const auto runFor = [&loop](Milliseconds time) {
+        loop.after(time, [&loop] {
+            loop.stop();
+        });
+        loop.run();
+    };
+    constexpr std::size_t peerCount = 40;
+    std::vector<Poco::Net::DatagramSocket> sockets;
+    for (std::size_t i = 0; i < peerCount; ++i) {
+        sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", 0));
+        sockets.back().setBlocking(false);
+        PeerMessage message;
+        message.instance = "peer-" + std::to_string(i);
+        message.incarnation = 1;
+        message.sequence = 1;
+        message.address = {"127.0.0.1", sockets.back().address().port()};
+        message.callerAddress = "127.0.0.1:2";
+        message.configurationVersion = 1;
+        message.storeRevision = 1;
+        const std::string bytes = peerlink::encode(message);
+        sockets.back().sendTo(
+            bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress("127.0.0.1", settings.address.port));
+    }
+    runFor(Milliseconds(50));
+    REQUIRE(link->table().peers().size() == peerCount);
+    /** Counts the notices received, and drops all datagrams that wait. */
+    const auto noticeCount = [&sockets] {
+        std::size_t count = 0;
+        for (Poco::Net::DatagramSocket &it : sockets) {
+            std::array<char, 65536> buf{};
+            try {
+                for (int n = it.receiveBytes(buf.data(), buf.size()); n > 0;
+                     n = it.receiveBytes(buf.data(), buf.size())) {
+                    const auto probe
+                        = peerlink::decode<ProbeMessage>(std::string_view(buf.data(), static_cast<std::size_t>(n)));
+                    count += probe && probe->isAnswer && probe->storeRevision == 1 ? 1 : 0;
+                }
+            } catch (const Poco::Exception &) {
+                continue;
+            }
+        }
+        return count;
+    };
+    CHECK(noticeCount() == 0);
+    link->announcePublishedState();
+    runFor(Milliseconds(20));
+    CHECK(noticeCount() == 8);
+    link->stop();
+}
--- a/src/fleet/types/probemessage.h
+++ b/src/fleet/types/probemessage.h
@@ -1,4 +1,5 @@
-// The datagram by which instances check each other: a question or its answer, with what the sender knows of dead peers.
+// The datagram by which instances check each other: a question, its answer or a notice, with the version of the
+// published state that the sender has and with what it knows of dead peers.
 #pragma once
 
 #include "fleet/types/peermessage.h"
@@ -39,13 +40,16 @@
     std::uint64_t incarnation = 0;
     /** Address to which a question is answered. */
     PeerAddress address;
+    /** A question is answered; answers and notices are not. */
     bool isAnswer = false;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t storeRevision = 0;
     std::vector<Suspicion> suspicions;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, instance, incarnation, address, isAnswer, suspicions);
+        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storeRevision, suspicions);
     }
 };
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -212,9 +212,11 @@
     if (isReadyNow != wasReady) {
         logging::write(logging::Level::Info, "gateway", isReadyNow ? "ready" : "not_ready", {});
     }
-    if (isReadyNow != wasReady || changes.hasNewConfiguration || changes.hasChangedUpstreams) {
+    if (isReadyNow != wasReady) {
         wasReady = isReadyNow;
         context.fleet->sendFullState();
+    } else if (changes.hasNewConfiguration || changes.hasChangedUpstreams) {
+        context.fleet->announcePublishedState();
     }
     if (isReadyNow) {
         openToCallers();
