--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -354,6 +354,9 @@
     parts.context.metrics.setGauge("magnolia_gateway_store_calls", [&parts] {
         return static_cast<double>(parts.storeReader.callCount());
     });
+    parts.context.metrics.setGauge("magnolia_gateway_store_answer_age_seconds", [&parts] {
+        return std::chrono::duration<double>(parts.loop.now() - parts.storeReader.lastAnswerAt()).count();
+    });
     logging::write(logging::Level::Info, "gateway", "started",
         {{"caller_address", std::string_view(parts.settings.callerAddress)},
             {"seeds", std::uint64_t{parts.settings.seeds.size()}}});
