--- a/tests/soak/soakstore.cpp
+++ b/tests/soak/soakstore.cpp
@@ -94,6 +94,10 @@
     if (mode == Mode::Resetting) {
         m_listener->resetAll();
     }
+    if (mode == Mode::Silent) {
+        // Their connections stay open, and no answer comes on them any more.
+        m_watches.clear();
+    }
 }
 
 void SoakStore::discardHistory()
--- a/tests/soak/soakstore.h
+++ b/tests/soak/soakstore.h
@@ -21,7 +21,7 @@
         Serving,
         /** Responds to every call with 503. */
         Unavailable,
-        /** Does not respond. */
+        /** Does not respond. Calls that wait when it begins, or arrive meanwhile, are never answered. */
         Silent,
         /** Resets each connection that sends a request. */
         Resetting,
