Published: lost answers to watches are found by checks that the fleet shares

Cause: a watch whose answer is lost looks like a watch without changes. It was given up 3 s after its wait of 25 s. The host of the store lives, so keep-alives find nothing, and as all instances asked the same silent store no peer was ahead. The class: a failure detector that takes silence for "nothing new".

Why this works: an instance that has not heard a confirmation for 0.7 s and a random time asks for the changes after its revision with a short call on a connection of its own, and announces the revision to all peers. The random time grows with the fleet, so that one or two instances ask, not all. Whoever lacks a confirmed change replaces its watch. A gap of 1.5 s counts as an outage, so that leases get their grace also where the silence itself was not seen.

--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -52,6 +52,8 @@
      * others in turn; told to all by all, each change would cost as many messages as there are pairs of instances.
      */
     void announcePublishedState();
+    /** Tells all live peers that this instance has checked the store, so that they need not. */
+    void announceStoreCheck();
 
     [[nodiscard]] const PeerTable &table() const;
     /** Returns the number of live instances in each cell of the fleet as this instance sees it. */
--- a/src/fleet/ifleetdelegate.h
+++ b/src/fleet/ifleetdelegate.h
@@ -26,6 +26,8 @@
     bool isComplete = false;
     /** Time of the last answer of the store. */
     MonoTime storeAnsweredAt{};
+    /** Latest time at which this instance knew all that the store had, by its own calls or those of peers. */
+    MonoTime storeConfirmedAt{};
 };
 
 /** The published state as far as one instance knows it. */
@@ -55,6 +57,8 @@
     virtual void onPeerMessage(const PeerMessage &message) = 0;
     /** Called with the published state that a peer sent on request. */
     virtual void onSnapshot(const Snapshot &snapshot) = 0;
+    /** Called when a peer states that the store had nothing after `revision` at the time `at`. */
+    virtual void onStoreConfirmed(std::uint64_t revision, MonoTime at) = 0;
     /** Called when a peer has restarted or become silent: its earlier placements may have ended. */
     virtual void onPeerLost(const std::string &instance) = 0;
 };
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -106,10 +106,12 @@
     }
 }
 
-void FailureDetector::setPublishedState(std::uint64_t configurationVersion, std::uint64_t storeRevision)
+void FailureDetector::setPublishedState(
+    std::uint64_t configurationVersion, std::uint64_t storeRevision, MonoTime storeConfirmedAt)
 {
     m_configurationVersion = configurationVersion;
     m_storeRevision = storeRevision;
+    m_storeConfirmedAt = storeConfirmedAt;
 }
 
 ProbeMessage FailureDetector::makeNotice(MonoTime now, Random &random) const
@@ -137,6 +139,10 @@
     message.address = m_ownAddress;
     message.configurationVersion = m_configurationVersion;
     message.storeRevision = m_storeRevision;
+    if (m_storeConfirmedAt != MonoTime{}) {
+        message.storeAgeMs
+            = static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(now - m_storeConfirmedAt).count()));
+    }
     // After the loss of many instances each message carries some of the suspicions, from a random one on.
     const std::size_t first = random.below(m_suspicions.size());
     for (std::size_t i = 0; i < std::min(m_suspicions.size(), m_parameters.maxSuspicionsPerMessage); ++i) {
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -362,7 +362,7 @@
 void FleetLink::announcePublishedState()
 {
     const OwnState own = m_delegate.ownState();
-    m_detector.setPublishedState(own.configurationVersion, own.storeRevision);
+    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
     std::vector<const Peer *> live;
     for (const auto &[name, peer] : m_table.peers()) {
         if (!m_table.isSilent(peer, m_loop.now())) {
@@ -378,6 +378,18 @@
     }
 }
 
+void FleetLink::announceStoreCheck()
+{
+    const OwnState own = m_delegate.ownState();
+    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
+    const std::string bytes = peerlink::encode(m_detector.makeNotice(m_loop.now(), m_random));
+    for (const auto &[name, peer] : m_table.peers()) {
+        if (!m_table.isSilent(peer, m_loop.now())) {
+            sendTo(peer.address, bytes);
+        }
+    }
+}
+
 void FleetLink::sendHeartbeat()
 {
     if (m_isStopped) {
@@ -415,7 +427,7 @@
         return;
     }
     const OwnState own = m_delegate.ownState();
-    m_detector.setPublishedState(own.configurationVersion, own.storeRevision);
+    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
     for (const FailureDetector::Outgoing &it : m_detector.tick(m_table, m_loop.now(), m_random)) {
         sendTo(it.address, peerlink::encode(it.message));
     }
@@ -443,9 +455,13 @@
         sendFullState();
     }
     const auto peer = m_table.peers().find(message->instance);
-    if (peer != m_table.peers().end() && peer->second.incarnation == message->incarnation) {
-        scheduleFetch(peer->second);
+    if (peer == m_table.peers().end() || peer->second.incarnation != message->incarnation) {
+        return;
+    }
+    if (message->storeAgeMs != ProbeMessage::unconfirmed) {
+        m_delegate.onStoreConfirmed(message->storeRevision, m_loop.now() - Milliseconds(message->storeAgeMs));
     }
+    scheduleFetch(peer->second);
 }
 
 void FleetLink::updateCellCount()
--- a/src/fleet/tests/fleetlinktests.cpp
+++ b/src/fleet/tests/fleetlinktests.cpp
@@ -40,6 +40,9 @@
     void onSnapshot(const Snapshot & /*snapshot*/) override
     {
     }
+    void onStoreConfirmed(std::uint64_t /*revision*/, MonoTime /*at*/) override
+    {
+    }
     void onPeerLost(const std::string & /*instance*/) override
     {
     }
--- a/src/fleet/types/probemessage.h
+++ b/src/fleet/types/probemessage.h
@@ -33,7 +33,7 @@
 struct ProbeMessage
 {
     /** Distinguishes this datagram from a PeerMessage, which has its format at the same position. */
-    static constexpr std::uint8_t currentFormat = 101;
+    static constexpr std::uint8_t currentFormat = 102;
 
     std::uint8_t format = currentFormat;
     std::string instance;
@@ -44,12 +44,17 @@
     bool isAnswer = false;
     std::uint64_t configurationVersion = 0;
     std::uint64_t storeRevision = 0;
+    /** Time since the sender knew that the store has nothing after `storeRevision`; `unconfirmed` if it never did. */
+    std::uint32_t storeAgeMs = unconfirmed;
     std::vector<Suspicion> suspicions;
 
+    static constexpr std::uint32_t unconfirmed = UINT32_MAX;
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storeRevision, suspicions);
+        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storeRevision, storeAgeMs,
+            suspicions);
     }
 };
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -59,9 +59,15 @@
         , context(theLoop, settings, seed)
         , publishedState(dependencies.decoder)
         , storeReader(theLoop, dependencies.store, publishedState, seed ^ 1U,
-              [this](const auto &changes) {
-                  onPublishedStateChanged(changes);
-              })
+              {[this](const auto &changes) {
+                   onPublishedStateChanged(changes);
+               },
+                  [this] {
+                      context.fleet->announceStoreCheck();
+                  },
+                  [this] {
+                      return context.fleet->table().liveInstanceCount(loop.now());
+                  }})
         , callerHandler(context)
         , controlHandler([this](std::string_view path) {
             return respond(path);
@@ -91,6 +97,7 @@
     [[nodiscard]] fleet::Snapshot snapshot() const override;
     void onPeerMessage(const fleet::PeerMessage &message) override;
     void onSnapshot(const fleet::Snapshot &snapshot) override;
+    void onStoreConfirmed(std::uint64_t revision, MonoTime at) override;
     void onPeerLost(const std::string &instance) override;
 
     void onPublishedStateChanged(const published::PublishedState::ChangeFlags &changes);
@@ -120,7 +127,8 @@
 fleet::OwnState Gateway::Parts::ownState() const
 {
     return {isReady(), context.stopDeadline.has_value(), context.catalogue ? context.catalogue->version : 0,
-        publishedState.revision(), storeReader.isConnected(), publishedState.isComplete(), storeReader.lastAnswerAt()};
+        publishedState.revision(), storeReader.isConnected(), publishedState.isComplete(), storeReader.lastAnswerAt(),
+        storeReader.confirmedAt()};
 }
 
 std::vector<fleet::PlacementRecord> Gateway::Parts::ownPlacements() const
@@ -183,6 +191,11 @@
     onPublishedStateChanged(changes);
 }
 
+void Gateway::Parts::onStoreConfirmed(std::uint64_t revision, MonoTime at)
+{
+    storeReader.onPeerConfirmation(revision, at);
+}
+
 void Gateway::Parts::onPeerLost(const std::string &instance)
 {
     context.placements.removeOwner(instance, loop.now());
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -210,6 +210,10 @@
 {
 }
 
+void GatewayFixture::onStoreConfirmed(std::uint64_t /*revision*/, MonoTime /*at*/)
+{
+}
+
 void GatewayFixture::onPeerLost(const std::string & /*instance*/)
 {
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -38,6 +38,12 @@
         std::function<void(Result<published::StoreChanges>)> /*done*/) override
     {
     }
+    void cancelWatch() override
+    {
+    }
+    void check(std::uint64_t /*revision*/, std::function<void(Result<published::StoreChanges>)> /*done*/) override
+    {
+    }
 
 private:
     eventloop::EventLoop &m_loop;
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -1,4 +1,4 @@
-// Implements the sequence of reads and watches.
+// Implements the sequence of reads, watches and checks.
 #include "published/storereader.h"
 
 #include "framework/logging/log.h"
@@ -9,13 +9,14 @@
 {
 
 StoreReader::StoreReader(eventloop::EventLoop &loop, IStoreClient &client, PublishedState &state, std::uint64_t seed,
-    ChangeHandler onChange, StoreReaderParameters parameters)
+    StoreReaderCallbacks callbacks, StoreReaderParameters parameters)
     : m_loop(loop)
     , m_client(client)
     , m_state(state)
     , m_random(seed)
-    , m_onChange(std::move(onChange))
+    , m_callbacks(std::move(callbacks))
     , m_parameters(parameters)
+    , m_checks(parameters.check)
 {
 }
 
@@ -39,6 +40,11 @@
     return m_lastAnswerAt;
 }
 
+MonoTime StoreReader::confirmedAt() const
+{
+    return m_checks.confirmedAt();
+}
+
 std::uint64_t StoreReader::callCount() const
 {
     return m_callCount;
@@ -69,10 +75,11 @@
         readNextPage(page->items.back().key);
         return;
     }
-    m_onChange(m_state.applyAll(m_readItems, m_firstPageRevision, m_loop.now()));
+    m_callbacks.onChange(m_state.applyAll(m_readItems, m_firstPageRevision, m_loop.now()));
     m_readItems.clear();
     m_watchRevision = m_firstPageRevision;
     m_isWatching = true;
+    confirm(m_loop.now());
     watch();
 }
 
@@ -80,30 +87,42 @@
 {
     ++m_callCount;
     m_watchStartedAt = m_loop.now();
+    ++m_watchNumber;
+    m_isWatchOpen = true;
     m_client.watch(m_watchRevision, m_parameters.watchTimeout, [this](const Result<StoreChanges> &changes) {
         onChanges(changes);
     });
 }
 
+bool StoreReader::applyChanges(const StoreChanges &changes)
+{
+    if (changes.isHistoryLost) {
+        logging::write(logging::Level::Info, "published", "history_lost", {{"revision", m_watchRevision}});
+        m_isWatching = false;
+        start();
+        return false;
+    }
+    PublishedState::ChangeFlags flags;
+    for (const StoreItem &item : changes.items) {
+        flags.add(m_state.apply(item, m_loop.now()));
+    }
+    m_watchRevision = std::max(m_watchRevision, changes.revision);
+    m_callbacks.onChange(flags);
+    confirm(m_loop.now());
+    return true;
+}
+
 void StoreReader::onChanges(const Result<StoreChanges> &changes)
 {
+    m_isWatchOpen = false;
     if (!changes) {
         onFailure(changes.error());
         return;
     }
     onSuccess();
-    if (changes->isHistoryLost) {
-        logging::write(logging::Level::Info, "published", "history_lost", {{"revision", m_watchRevision}});
-        m_isWatching = false;
-        start();
+    if (!applyChanges(*changes)) {
         return;
     }
-    PublishedState::ChangeFlags flags;
-    for (const StoreItem &item : changes->items) {
-        flags.add(m_state.apply(item, m_loop.now()));
-    }
-    m_watchRevision = std::max(m_watchRevision, changes->revision);
-    m_onChange(flags);
     m_isCatchingUp = m_isCatchingUp && m_loop.now() - m_watchStartedAt < m_parameters.caughtUpWait;
     if (changes->items.empty() || m_isCatchingUp) {
         watch();
@@ -128,7 +147,7 @@
     m_wasConnected = true;
 }
 
-void StoreReader::onFailure(const Error &error)
+void StoreReader::markLost(const Error &error)
 {
     if (m_isConnected) {
         logging::write(
@@ -136,13 +155,123 @@
     }
     m_isConnected = false;
     m_isCatchingUp = true;
+}
+
+void StoreReader::onFailure(const Error &error)
+{
+    markLost(error);
     m_readItems.clear();
     const Milliseconds delay = std::max(m_retryDelay, m_parameters.minRetryDelay);
     m_retryDelay = std::min(delay * 2, m_parameters.maxRetryDelay);
-    const auto jitter = static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(delay.count()) + 1));
-    m_loop.after(delay + Milliseconds(jitter), [this] {
+    m_loop.after(delay + jitter(delay), [this] {
         start();
     });
 }
 
+Milliseconds StoreReader::jitter(Milliseconds max)
+{
+    return Milliseconds(static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(max.count()) + 1)));
+}
+
+void StoreReader::onPeerConfirmation(std::uint64_t revision, MonoTime at)
+{
+    if (revision <= m_state.revision()) {
+        confirm(at);
+    }
+    const bool isNewReason
+        = revision > m_renewedForRevision || m_loop.now() - m_renewedAt > m_parameters.minRenewalInterval;
+    if (revision > m_watchRevision && isNewReason) {
+        m_renewedForRevision = revision;
+        m_renewedAt = m_loop.now();
+        scheduleRenewal(m_parameters.watchRenewalDelay + jitter(m_parameters.watchRenewalDelay));
+    }
+}
+
+void StoreReader::confirm(MonoTime at)
+{
+    if (m_checks.onConfirmed(at, m_callbacks.instanceCount(), m_random)) {
+        // Leases may have expired meanwhile, and the open watch may be one whose answer was lost.
+        m_state.onStoreReconnected(m_loop.now());
+        scheduleRenewal(jitter(m_parameters.watchRenewalDelay));
+    }
+    scheduleCheck();
+}
+
+void StoreReader::scheduleCheck()
+{
+    if (m_checkTimer != 0) {
+        return;
+    }
+    m_checkTimer = m_loop.after(toMilliseconds(m_checks.dueAt() - m_loop.now()) + Milliseconds(1), [this] {
+        m_checkTimer = 0;
+        // A confirmation since then has moved the check.
+        if (m_loop.now() >= m_checks.dueAt()) {
+            check();
+        }
+        scheduleCheck();
+    });
+}
+
+void StoreReader::check()
+{
+    if (!m_isWatchOpen || m_isCheckOpen) {
+        // Another call is under way or about to begin, and its answer will tell the same.
+        m_checks.onNotConfirmed(m_loop.now(), m_callbacks.instanceCount(), m_random);
+        return;
+    }
+    ++m_callCount;
+    m_isCheckOpen = true;
+    m_checks.onNotConfirmed(m_loop.now(), m_callbacks.instanceCount(), m_random);
+    m_client.check(m_watchRevision, [this](const Result<StoreChanges> &changes) {
+        m_isCheckOpen = false;
+        onCheckAnswer(changes);
+    });
+}
+
+void StoreReader::onCheckAnswer(const Result<StoreChanges> &changes)
+{
+    if (!changes) {
+        m_checks.onNotConfirmed(m_loop.now(), m_callbacks.instanceCount(), m_random);
+        if (m_checks.isSilent(m_loop.now())) {
+            markLost(changes.error());
+        }
+        return;
+    }
+    if (!m_isWatching) {
+        return;
+    }
+    onSuccess();
+    if (changes->isHistoryLost) {
+        m_client.cancelWatch();
+        m_isWatchOpen = false;
+    }
+    if (!applyChanges(*changes)) {
+        return;
+    }
+    if (!changes->items.empty()) {
+        scheduleRenewal(m_parameters.watchRenewalDelay);
+    }
+    m_callbacks.onChecked();
+}
+
+void StoreReader::scheduleRenewal(Milliseconds delay)
+{
+    if (m_renewalTimer != 0 && m_renewalWatchNumber == m_watchNumber) {
+        return;
+    }
+    m_loop.cancel(m_renewalTimer);
+    m_renewalWatchNumber = m_watchNumber;
+    m_renewalTimer = m_loop.after(delay, [this, number = m_watchNumber] {
+        m_renewalTimer = 0;
+        if (!m_isWatchOpen || number != m_watchNumber) {
+            return;
+        }
+        logging::write(logging::Level::Info, "published", "watch_renewed",
+            {{"revision", m_watchRevision},
+                {"open_ms", std::int64_t{toMilliseconds(m_loop.now() - m_watchStartedAt).count()}}});
+        m_client.cancelWatch();
+        watch();
+    });
+}
+
 } // namespace magnolia::published
--- a/src/published/istoreclient.h
+++ b/src/published/istoreclient.h
@@ -40,6 +40,10 @@
     virtual void readPage(const std::string &afterKey, std::function<void(Result<StorePage>)> done) = 0;
     /** Waits up to `wait` for changes after `revision`. */
     virtual void watch(std::uint64_t revision, Milliseconds wait, std::function<void(Result<StoreChanges>)> done) = 0;
+    /** Abandons the open watch, if there is one; its `done` is not called. */
+    virtual void cancelWatch() = 0;
+    /** Returns the changes after `revision` without waiting for any, also while a watch is open. One at a time. */
+    virtual void check(std::uint64_t revision, std::function<void(Result<StoreChanges>)> done) = 0;
 };
 
 } // namespace magnolia::published
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -1,10 +1,12 @@
-// Keeps the published state up to date with the store: one full read, then watches for changes.
+// Keeps the published state up to date with the store: one full read, then watches for changes, and short checks that
+// find watches whose answers were lost. The instances of a fleet share the checks.
 #pragma once
 
 #include "framework/eventloop/eventloop.h"
 #include "framework/global/random.h"
 #include "published/istoreclient.h"
 #include "published/publishedstate.h"
+#include "published/storecheckschedule.h"
 
 #include <functional>
 #include <string>
@@ -30,21 +32,38 @@
      */
     Milliseconds minRetryDelay{150};
     Milliseconds maxRetryDelay{800};
+    StoreCheckParameters check;
+    /** Time in which an open watch returns a change that is known from elsewhere; without it the watch is replaced. */
+    Milliseconds watchRenewalDelay{150};
+    /** Minimum time between two replacements of the watch for the same revision. */
+    Milliseconds minRenewalInterval{3000};
+};
+
+struct StoreReaderCallbacks
+{
+    /** Called after each answer of the store, with the parts of the state that it has changed. */
+    std::function<void(const PublishedState::ChangeFlags &)> onChange;
+    /** Called after a successful check, so that peers learn of it. */
+    std::function<void()> onChecked;
+    /** Returns the number of instances that share the checks, including this one. */
+    std::function<std::size_t()> instanceCount;
 };
 
 class StoreReader
 {
 public:
-    using ChangeHandler = std::function<void(const PublishedState::ChangeFlags &)>;
-
     StoreReader(eventloop::EventLoop &loop, IStoreClient &client, PublishedState &state, std::uint64_t seed,
-        ChangeHandler onChange, StoreReaderParameters parameters = {});
+        StoreReaderCallbacks callbacks, StoreReaderParameters parameters = {});
 
     void start();
+    /** Records that the store had no change after `revision` at the time `at`, as a peer has announced. */
+    void onPeerConfirmation(std::uint64_t revision, MonoTime at);
     /** Returns whether the last call succeeded. */
     [[nodiscard]] bool isConnected() const;
     /** Returns the time of the last successful call. */
     [[nodiscard]] MonoTime lastAnswerAt() const;
+    /** Returns the latest time at which this instance knew all that the store had. */
+    [[nodiscard]] MonoTime confirmedAt() const;
     /** Returns the number of calls made so far. */
     [[nodiscard]] std::uint64_t callCount() const;
 
@@ -53,14 +72,24 @@
     void onPage(const Result<StorePage> &page);
     void watch();
     void onChanges(const Result<StoreChanges> &changes);
+    /** Applies the changes; returns false if the store no longer has them and everything is read again. */
+    bool applyChanges(const StoreChanges &changes);
     void onFailure(const Error &error);
     void onSuccess();
+    void markLost(const Error &error);
+    void confirm(MonoTime at);
+    void scheduleCheck();
+    void check();
+    void onCheckAnswer(const Result<StoreChanges> &changes);
+    /** Replaces the open watch after `delay` unless it has returned by then. */
+    void scheduleRenewal(Milliseconds delay);
+    [[nodiscard]] Milliseconds jitter(Milliseconds max);
 
     eventloop::EventLoop &m_loop;
     IStoreClient &m_client;
     PublishedState &m_state;
     Random m_random;
-    ChangeHandler m_onChange;
+    StoreReaderCallbacks m_callbacks;
     StoreReaderParameters m_parameters;
     std::vector<StoreItem> m_readItems;
     std::uint64_t m_firstPageRevision = 0;
@@ -75,6 +104,18 @@
     bool m_wasConnected = false;
     std::uint64_t m_callCount = 0;
     Milliseconds m_retryDelay{0};
+    StoreCheckSchedule m_checks;
+    // Number of the latest watch; a renewal that was planned for an earlier one is void.
+    std::uint64_t m_watchNumber = 0;
+    bool m_isWatchOpen = false;
+    bool m_isCheckOpen = false;
+    eventloop::TimerId m_checkTimer = 0;
+    eventloop::TimerId m_renewalTimer = 0;
+    // Number of the watch for which the renewal is planned.
+    std::uint64_t m_renewalWatchNumber = 0;
+    // Highest revision for which the watch was replaced, and when.
+    std::uint64_t m_renewedForRevision = 0;
+    MonoTime m_renewedAt{};
 };
 
 } // namespace magnolia::published
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -53,34 +53,70 @@
         changes.revision = revision + 1;
         done(changes);
     }
+    void cancelWatch() override
+    {
+        pendingWatch = nullptr;
+    }
+    void check(std::uint64_t revision, std::function<void(Result<StoreChanges>)> done) override
+    {
+        ++checkCount;
+        if (isSilent) {
+            return;
+        }
+        StoreChanges changes;
+        changes.revision = lastRevision;
+        if (revision < lastRevision) {
+            changes.items.push_back({"k", "", lastRevision, false});
+        }
+        done(changes);
+    }
 
+    int checkCount = 0;
+    /** Checks are not answered. */
+    bool isSilent = false;
     std::uint64_t lastRevision = 1;
     std::size_t failingWatchNumber = 0;
     std::vector<std::uint64_t> watchedRevisions;
     std::function<void(Result<StoreChanges>)> pendingWatch;
 };
 
-/** Runs the loop until a watch stays open, or for one second. */
-void runUntilWatchWaits(eventloop::EventLoop &loop, FakeStore &store)
+void runUntil(
+    eventloop::EventLoop &loop, const std::function<bool()> &isDone, Milliseconds timeout = Milliseconds(5000))
 {
-    constexpr Milliseconds timeout{1000};
+    if (isDone()) {
+        return;
+    }
     const eventloop::TimerId timeoutTimer = loop.after(timeout, [&loop] {
         loop.stop();
     });
     std::function<void()> check = [&] {
-        if (store.pendingWatch) {
+        if (isDone()) {
             loop.stop();
             return;
         }
         loop.after(Milliseconds(1), check);
     };
     check();
-    if (!store.pendingWatch) {
-        loop.run();
-    }
+    loop.run();
     loop.cancel(timeoutTimer);
 }
 
+/** Runs the loop until a watch stays open. */
+void runUntilWatchWaits(eventloop::EventLoop &loop, const FakeStore &store)
+{
+    runUntil(loop, [&] {
+        return store.pendingWatch != nullptr;
+    });
+}
+
+StoreReaderCallbacks makeCallbacks()
+{
+    return {[](const auto &) {}, [] {},
+        [] {
+            return std::size_t{1};
+        }};
+}
+
 StoreReaderParameters makeParameters()
 {
     StoreReaderParameters parameters;
@@ -88,6 +124,9 @@
     parameters.batchDelay = Milliseconds(3'600'000);
     parameters.minRetryDelay = Milliseconds(1);
     parameters.maxRetryDelay = Milliseconds(1);
+    parameters.check.interval = Milliseconds(1);
+    parameters.check.minSpread = Milliseconds(1);
+    parameters.watchRenewalDelay = Milliseconds(1);
     return parameters;
 }
 
@@ -102,8 +141,7 @@
     FakeStore store;
     store.lastRevision = 9;
     store.failingWatchNumber = 1;
-    StoreReader reader(
-        loop, store, state, 1, [](const auto &) {}, makeParameters());
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
     reader.start();
     runUntilWatchWaits(loop, store);
     CHECK(store.pendingWatch);
@@ -118,8 +156,7 @@
     FakeStore store;
     StoreReaderParameters parameters = makeParameters();
     parameters.caughtUpWait = Milliseconds(0);
-    StoreReader reader(
-        loop, store, state, 1, [](const auto &) {}, parameters);
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
     reader.start();
     REQUIRE(store.pendingWatch);
     const auto callsBefore = reader.callCount();
@@ -129,3 +166,47 @@
     std::exchange(store.pendingWatch, nullptr)(changes);
     CHECK(reader.callCount() == callsBefore);
 }
+
+TEST_CASE("a watch whose answer was lost is replaced once a check finds a change that it has not returned")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
+    reader.start();
+    REQUIRE(store.watchedRevisions.back() == 1);
+    store.lastRevision = 2;
+    runUntil(loop, [&] {
+        return store.watchedRevisions.back() == 2;
+    });
+    CHECK(store.watchedRevisions.back() == 2);
+    CHECK(state.revision() == 2);
+}
+
+TEST_CASE("a watch that lacks a change which a peer has announced is replaced, and not again for the same change")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    StoreReaderParameters parameters = makeParameters();
+    parameters.check.interval = Milliseconds(3'600'000);
+    parameters.minRenewalInterval = Milliseconds(3'600'000);
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
+    reader.start();
+    const auto isReplaced = [&] {
+        return store.watchedRevisions.size() == 2;
+    };
+    reader.onPeerConfirmation(7, loop.now());
+    runUntil(loop, isReplaced);
+    REQUIRE(isReplaced());
+    reader.onPeerConfirmation(7, loop.now());
+    runUntil(
+        loop,
+        [] {
+            return false;
+        },
+        Milliseconds(30));
+    CHECK(store.watchedRevisions.size() == 2);
+}
