--- a/src/fleet/failuredetector.h
+++ b/src/fleet/failuredetector.h
@@ -57,7 +57,8 @@
     [[nodiscard]] std::optional<Outgoing> onMessage(
         const ProbeMessage &message, PeerTable &table, MonoTime now, Random &random);
     /** Sets the version of the published state that the messages of this instance state. */
-    void setPublishedState(std::uint64_t configurationVersion, std::uint64_t storeRevision, MonoTime storeConfirmedAt);
+    void setPublishedState(
+        std::uint64_t configurationVersion, const published::StorePosition &storePosition, MonoTime storeConfirmedAt);
     /** Returns a message that needs no answer, for peers that should learn of a new published state at once. */
     [[nodiscard]] ProbeMessage makeNotice(MonoTime now, Random &random) const;
     /** Whether a peer has spread a suspicion against this instance since the last call. */
@@ -95,7 +96,7 @@
     std::vector<KnownFailure> m_suspicions;
     bool m_isSuspected = false;
     std::uint64_t m_configurationVersion = 0;
-    std::uint64_t m_storeRevision = 0;
+    published::StorePosition m_storePosition;
     MonoTime m_storeConfirmedAt{};
 };
 
--- a/src/fleet/ifleetdelegate.h
+++ b/src/fleet/ifleetdelegate.h
@@ -19,7 +19,7 @@
     bool isReady = false;
     bool isLeaving = false;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t storeRevision = 0;
+    published::StorePosition storePosition;
     /** Whether this instance reads the store itself and so needs no snapshot from peers. */
     bool isStoreConnected = false;
     /** Whether the whole published state was read at least once. */
@@ -33,14 +33,14 @@
 /** The published state as far as one instance knows it. */
 struct Snapshot
 {
-    std::uint64_t revision = 0;
+    published::StorePosition position;
     bool isComplete = false;
     std::vector<published::StoreItem> items;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(revision, isComplete, items);
+        archive(position, isComplete, items);
     }
 };
 
@@ -57,8 +57,8 @@
     virtual void onPeerMessage(const PeerMessage &message) = 0;
     /** Called with the published state that a peer sent on request. */
     virtual void onSnapshot(const Snapshot &snapshot) = 0;
-    /** Called when a peer states that the store had nothing after `revision` at the time `at`. */
-    virtual void onStoreConfirmed(std::uint64_t revision, MonoTime at) = 0;
+    /** Called when a peer states that the store had nothing after `position` at the time `at`. */
+    virtual void onStoreConfirmed(const published::StorePosition &position, MonoTime at) = 0;
     /** Called when a peer has restarted or become silent: its earlier placements may have ended. */
     virtual void onPeerLost(const std::string &instance) = 0;
 };
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -107,10 +107,10 @@
 }
 
 void FailureDetector::setPublishedState(
-    std::uint64_t configurationVersion, std::uint64_t storeRevision, MonoTime storeConfirmedAt)
+    std::uint64_t configurationVersion, const published::StorePosition &storePosition, MonoTime storeConfirmedAt)
 {
     m_configurationVersion = configurationVersion;
-    m_storeRevision = storeRevision;
+    m_storePosition = storePosition;
     m_storeConfirmedAt = storeConfirmedAt;
 }
 
@@ -138,7 +138,7 @@
     message.incarnation = m_incarnation;
     message.address = m_ownAddress;
     message.configurationVersion = m_configurationVersion;
-    message.storeRevision = m_storeRevision;
+    message.storePosition = m_storePosition;
     if (m_storeConfirmedAt != MonoTime{}) {
         message.storeAgeMs
             = static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(now - m_storeConfirmedAt).count()));
--- a/src/fleet/internal/fetchdelay.cpp
+++ b/src/fleet/internal/fetchdelay.cpp
@@ -19,7 +19,7 @@
 std::optional<Milliseconds> fetchDelay(const OwnState &own, const Peer &peer)
 {
     const bool isConfigurationBehind = peer.configurationVersion > own.configurationVersion;
-    const bool isRevisionBehind = peer.storeRevision > own.storeRevision;
+    const bool isRevisionBehind = peer.storePosition > own.storePosition;
     const bool isInitialRead = !own.isComplete && peer.configurationVersion > 0;
     if (!isConfigurationBehind && !isRevisionBehind && !isInitialRead) {
         return std::nullopt;
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -226,7 +226,7 @@
     message.isReady = own.isReady;
     message.isLeaving = own.isLeaving;
     message.configurationVersion = own.configurationVersion;
-    message.storeRevision = own.storeRevision;
+    message.storePosition = own.storePosition;
     return message;
 }
 
@@ -369,7 +369,7 @@
 void FleetLink::announcePublishedState()
 {
     const OwnState own = m_delegate.ownState();
-    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
+    m_detector.setPublishedState(own.configurationVersion, own.storePosition, own.storeConfirmedAt);
     std::vector<const Peer *> live;
     for (const auto &[name, peer] : m_table.peers()) {
         if (!m_table.isSilent(peer, m_loop.now())) {
@@ -388,7 +388,7 @@
 void FleetLink::announceStoreCheck()
 {
     const OwnState own = m_delegate.ownState();
-    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
+    m_detector.setPublishedState(own.configurationVersion, own.storePosition, own.storeConfirmedAt);
     sendToAllLivePeers(peerlink::encode(m_detector.makeNotice(m_loop.now(), m_random)));
 }
 
@@ -438,7 +438,7 @@
         return;
     }
     const OwnState own = m_delegate.ownState();
-    m_detector.setPublishedState(own.configurationVersion, own.storeRevision, own.storeConfirmedAt);
+    m_detector.setPublishedState(own.configurationVersion, own.storePosition, own.storeConfirmedAt);
     for (const FailureDetector::Outgoing &it : m_detector.tick(m_table, m_loop.now(), m_random)) {
         sendTo(it.address, peerlink::encode(it.message));
     }
@@ -470,7 +470,7 @@
         return;
     }
     if (message->storeAgeMs != ProbeMessage::unconfirmed) {
-        m_delegate.onStoreConfirmed(message->storeRevision, m_loop.now() - Milliseconds(message->storeAgeMs));
+        m_delegate.onStoreConfirmed(message->storePosition, m_loop.now() - Milliseconds(message->storeAgeMs));
     }
     scheduleFetch(peer->second);
 }
@@ -575,7 +575,7 @@
 {
     std::vector<const Peer *> near;
     for (const auto &[name, it] : m_table.peers()) {
-        if (it.dataCentre == m_settings.dataCentre && it.storeRevision >= peer.storeRevision
+        if (it.dataCentre == m_settings.dataCentre && it.storePosition >= peer.storePosition
             && it.configurationVersion >= peer.configurationVersion && !m_table.isSilent(it, m_loop.now())) {
             near.push_back(&it);
         }
@@ -587,8 +587,9 @@
 {
     const OwnState own = m_delegate.ownState();
     logging::write(logging::Level::Info, "fleet", "snapshot_asked",
-        {{"peer", std::string_view(from.instance)}, {"peer_revision", from.storeRevision},
-            {"own_revision", own.storeRevision}, {"store_reached", own.isStoreConnected}});
+        {{"peer", std::string_view(from.instance)}, {"peer_revision", from.storePosition.revision},
+            {"own_revision", own.storePosition.revision}, {"peer_era", from.storePosition.era},
+            {"own_era", own.storePosition.era}, {"store_reached", own.isStoreConnected}});
     m_call = std::make_shared<SnapshotCall>(m_loop, [this](const Result<Snapshot> &snapshot) {
         m_call.reset();
         if (snapshot) {
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -36,7 +36,7 @@
     // Within one run a peer that leaves never comes back.
     const bool isLeaving = message.isLeaving || (!isNew && peer.isLeaving);
     peer = Peer{message.instance, message.dataCentre, message.incarnation, message.sequence, message.address,
-        message.callerAddress, message.isReady, isLeaving, message.configurationVersion, message.storeRevision, now};
+        message.callerAddress, message.isReady, isLeaving, message.configurationVersion, message.storePosition, now};
     for (const PeerAddress &it : message.peers) {
         if (it != m_ownAddress && m_reportedAddresses.size() < m_parameters.maxPeers) {
             m_reportedAddresses[it] = now;
@@ -58,7 +58,7 @@
     peer.isReady = message.isReady;
     peer.isLeaving = peer.isLeaving || message.isLeaving;
     peer.configurationVersion = message.configurationVersion;
-    peer.storeRevision = message.storeRevision;
+    peer.storePosition = message.storePosition;
     peer.lastHeardAt = now;
     peer.isSuspected = false;
     return UpdateResult::Updated;
@@ -75,7 +75,7 @@
     peer.isSuspected = false;
     // Neither goes back within one run; an earlier datagram may arrive later.
     peer.configurationVersion = std::max(peer.configurationVersion, message.configurationVersion);
-    peer.storeRevision = std::max(peer.storeRevision, message.storeRevision);
+    peer.storePosition = std::max(peer.storePosition, message.storePosition);
 }
 
 bool PeerTable::suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt)
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -40,7 +40,7 @@
     bool isReady = false;
     bool isLeaving = false;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t storeRevision = 0;
+    published::StorePosition storePosition;
     MonoTime lastHeardAt{};
     /** Whether the peer did not answer a probe since it was last heard. */
     bool isSuspected = false;
--- a/src/fleet/tests/failuredetectortests.cpp
+++ b/src/fleet/tests/failuredetectortests.cpp
@@ -77,7 +77,7 @@
     {
         Node &it = *m_nodes[node];
         it.version = version;
-        it.detector.setPublishedState(version, version, {});
+        it.detector.setPublishedState(version, {0, version}, {});
         constexpr std::size_t announcedTo = 8;
         for (std::size_t i = 0; i < announcedTo; ++i) {
             const std::size_t other = m_schedule.random().below(m_nodes.size());
--- a/src/fleet/tests/fetchdelaytests.cpp
+++ b/src/fleet/tests/fetchdelaytests.cpp
@@ -11,14 +11,14 @@
 
 OwnState makeOwn()
 {
-    return {true, false, 5, 100, true, true, {}};
+    return {true, false, 5, {0, 100}, true, true, {}, {}};
 }
 
 Peer makePeer(std::uint64_t version, std::uint64_t revision)
 {
     Peer peer;
     peer.configurationVersion = version;
-    peer.storeRevision = revision;
+    peer.storePosition = {0, revision};
     return peer;
 }
 
@@ -84,3 +84,13 @@
     own.isStoreConnected = true;
     CHECK(fetchDelay(own, makePeer(5, 100)));
 }
+
+TEST_CASE("a peer of a later era of the store is ahead, whatever its revision")
+{
+    Peer peer = makePeer(5, 3);
+    peer.storePosition.era = 1;
+    CHECK(fetchDelay(makeOwn(), peer));
+    OwnState own = makeOwn();
+    own.storePosition = {1, 3};
+    CHECK_FALSE(fetchDelay(own, makePeer(5, 100)));
+}
--- a/src/fleet/tests/fleetlinktests.cpp
+++ b/src/fleet/tests/fleetlinktests.cpp
@@ -23,7 +23,7 @@
 {
     OwnState ownState() const override
     {
-        return {true, false, 1, 1, true, true, {}};
+        return {true, false, 1, {0, 1}, true, true, {}, {}};
     }
     std::vector<PlacementRecord> ownPlacements() const override
     {
@@ -32,7 +32,7 @@
     Snapshot snapshot() const override
     {
         constexpr std::size_t large = 16 << 20;
-        return {1, true, {{"k", std::string(large, 'x'), 1, false}}};
+        return {{0, 1}, true, {{"k", std::string(large, 'x'), 1, false}}};
     }
     void onPeerMessage(const PeerMessage & /*message*/) override
     {
@@ -40,7 +40,7 @@
     void onSnapshot(const Snapshot & /*snapshot*/) override
     {
     }
-    void onStoreConfirmed(std::uint64_t /*revision*/, MonoTime /*at*/) override
+    void onStoreConfirmed(const published::StorePosition & /*position*/, MonoTime /*at*/) override
     {
     }
     void onPeerLost(const std::string & /*instance*/) override
@@ -152,7 +152,7 @@
         message.address = {"127.0.0.1", sockets.back().address().port()};
         message.callerAddress = "127.0.0.1:2";
         message.configurationVersion = 1;
-        message.storeRevision = 1;
+        message.storePosition.revision = 1;
         const std::string bytes = peerlink::encode(message);
         sockets.back().sendTo(
             bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress("127.0.0.1", settings.address.port));
@@ -169,7 +169,7 @@
                      n = it.receiveBytes(buf.data(), buf.size())) {
                     const auto probe
                         = peerlink::decode<ProbeMessage>(std::string_view(buf.data(), static_cast<std::size_t>(n)));
-                    count += probe && probe->isAnswer && probe->storeRevision == 1 ? 1 : 0;
+                    count += probe && probe->isAnswer && probe->storePosition.revision == 1 ? 1 : 0;
                 }
             } catch (const Poco::Exception &) {
                 continue;
--- a/src/fleet/types/peermessage.h
+++ b/src/fleet/types/peermessage.h
@@ -1,6 +1,8 @@
 // The datagram that instances exchange: their identity, their state and their placements.
 #pragma once
 
+#include "published/types/storeposition.h"
+
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -90,7 +92,7 @@
 struct PeerMessage
 {
     /** Receivers ignore messages of any other format. */
-    static constexpr std::uint8_t currentFormat = 7;
+    static constexpr std::uint8_t currentFormat = 8;
 
     std::uint8_t format = currentFormat;
     std::string instance;
@@ -104,7 +106,7 @@
     bool isReady = false;
     bool isLeaving = false;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t storeRevision = 0;
+    published::StorePosition storePosition;
     /** Whether `placements` replaces all placements known of the sender. */
     bool isFullState = false;
     std::vector<PeerAddress> peers;
@@ -118,7 +120,7 @@
     void serialize(Archive &archive)
     {
         archive(format, instance, dataCentre, incarnation, sequence, address, callerAddress, isReady, isLeaving,
-            configurationVersion, storeRevision, isFullState, peers, placements, decoding, ends, leaving);
+            configurationVersion, storePosition, isFullState, peers, placements, decoding, ends, leaving);
     }
 };
 
--- a/src/fleet/types/probemessage.h
+++ b/src/fleet/types/probemessage.h
@@ -33,7 +33,7 @@
 struct ProbeMessage
 {
     /** Distinguishes this datagram from a PeerMessage, which has its format at the same position. */
-    static constexpr std::uint8_t currentFormat = 102;
+    static constexpr std::uint8_t currentFormat = 103;
 
     std::uint8_t format = currentFormat;
     std::string instance;
@@ -43,8 +43,8 @@
     /** A question is answered; answers and notices are not. */
     bool isAnswer = false;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t storeRevision = 0;
-    /** Time since the sender knew that the store has nothing after `storeRevision`; `unconfirmed` if it never did. */
+    published::StorePosition storePosition;
+    /** Time since the sender knew that the store has nothing after `storePosition`; `unconfirmed` if it never did. */
     std::uint32_t storeAgeMs = unconfirmed;
     std::vector<Suspicion> suspicions;
 
@@ -53,7 +53,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storeRevision, storeAgeMs,
+        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storePosition, storeAgeMs,
             suspicions);
     }
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -97,7 +97,7 @@
     [[nodiscard]] fleet::Snapshot snapshot() const override;
     void onPeerMessage(const fleet::PeerMessage &message) override;
     void onSnapshot(const fleet::Snapshot &snapshot) override;
-    void onStoreConfirmed(std::uint64_t revision, MonoTime at) override;
+    void onStoreConfirmed(const published::StorePosition &position, MonoTime at) override;
     void onPeerLost(const std::string &instance) override;
 
     void onPublishedStateChanged(const published::PublishedState::ChangeFlags &changes);
@@ -127,7 +127,7 @@
 fleet::OwnState Gateway::Parts::ownState() const
 {
     return {isReady(), context.stopDeadline.has_value(), context.catalogue ? context.catalogue->version : 0,
-        publishedState.revision(), storeReader.isConnected(), publishedState.isComplete(), storeReader.lastAnswerAt(),
+        publishedState.position(), storeReader.isConnected(), publishedState.isComplete(), storeReader.lastAnswerAt(),
         storeReader.confirmedAt()};
 }
 
@@ -145,7 +145,7 @@
 
 fleet::Snapshot Gateway::Parts::snapshot() const
 {
-    return {publishedState.revision(), publishedState.isComplete(), publishedState.items()};
+    return {publishedState.position(), publishedState.isComplete(), publishedState.items()};
 }
 
 void Gateway::Parts::onPeerMessage(const fleet::PeerMessage &message)
@@ -193,14 +193,14 @@
         changes.add(publishedState.apply(it, loop.now()));
     }
     if (snapshot.isComplete) {
-        publishedState.setComplete(snapshot.revision);
+        publishedState.setComplete(snapshot.position);
     }
     onPublishedStateChanged(changes);
 }
 
-void Gateway::Parts::onStoreConfirmed(std::uint64_t revision, MonoTime at)
+void Gateway::Parts::onStoreConfirmed(const published::StorePosition &position, MonoTime at)
 {
-    storeReader.onPeerConfirmation(revision, at);
+    storeReader.onPeerConfirmation(position, at);
 }
 
 void Gateway::Parts::onPeerLost(const std::string &instance)
@@ -223,7 +223,7 @@
               });
         logging::write(logging::Level::Info, "gateway", "upstreams_changed",
             {{"known", std::uint64_t{context.upstreams.size()}}, {"leaving", std::int64_t{leavingCount}},
-                {"revision", publishedState.revision()}});
+                {"revision", publishedState.position().revision}});
     }
     if (changes.hasNewConfiguration || changes.hasChangedUpstreams) {
         forgetUnpublished(context);
--- a/src/gateway/internal/gatewaystatus.cpp
+++ b/src/gateway/internal/gatewaystatus.cpp
@@ -27,7 +27,7 @@
                     : peer.isReady   ? "ready"
                                      : "starting"},
             {"heard_ms_ago", toMilliseconds(now - peer.lastHeardAt).count()},
-            {"configuration", peer.configurationVersion}, {"store_revision", peer.storeRevision}});
+            {"configuration", peer.configurationVersion}, {"store_revision", peer.storePosition.revision}});
     }
     return rows;
 }
@@ -77,7 +77,8 @@
     status["data_centre"] = context.settings.dataCentre.value();
     status["state"] = instanceStatus.state;
     status["configuration_version"] = context.catalogue ? context.catalogue->version : 0;
-    status["store_revision"] = publishedState.revision();
+    status["store_revision"] = publishedState.position().revision;
+    status["store_era"] = publishedState.position().era;
     status["store_reached"] = instanceStatus.isStoreReached;
     status["open_requests"] = instanceStatus.openRequests;
     status["known_placements"] = context.placements.size();
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -112,7 +112,7 @@
     entry.address = upstreams.back()->address();
     entry.dataCentre = DataCentreId("here");
     entry.slots = 4;
-    upstreamRecords[name] = {entry, {}, std::nullopt};
+    upstreamRecords[name] = {entry, {}, std::nullopt, {}};
     context.upstreams.rebuild(upstreamRecords, settings.dataCentre);
     return *upstreams.back();
 }
@@ -211,7 +211,7 @@
 {
 }
 
-void GatewayFixture::onStoreConfirmed(std::uint64_t /*revision*/, MonoTime /*at*/)
+void GatewayFixture::onStoreConfirmed(const published::StorePosition & /*position*/, MonoTime /*at*/)
 {
 }
 
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -61,7 +61,7 @@
     [[nodiscard]] fleet::Snapshot snapshot() const override;
     void onPeerMessage(const fleet::PeerMessage &message) override;
     void onSnapshot(const fleet::Snapshot &snapshot) override;
-    void onStoreConfirmed(std::uint64_t revision, MonoTime at) override;
+    void onStoreConfirmed(const published::StorePosition &position, MonoTime at) override;
     void onPeerLost(const std::string &instance) override;
 
     eventloop::EventLoop loop;
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -30,7 +30,7 @@
         m_loop.after(m_answerTime, [done = std::move(done)] {
             published::StorePage page;
             page.items = {{"c", "1", 1, false}, {"u", "1", 2, false}};
-            page.revision = 2;
+            page.position = {0, 2};
             done(std::move(page));
         });
     }
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -29,12 +29,12 @@
 
 PublishedState::ChangeFlags PublishedState::apply(const StoreItem &item, MonoTime now)
 {
-    m_revision = std::max(m_revision, item.revision);
+    m_position = std::max(m_position, item.position());
     switch (m_decoder.kindOf(item.key)) {
     case IItemDecoder::ItemKind::Configuration:
         return item.isDeleted ? ChangeFlags{} : applyConfiguration(item);
     case IItemDecoder::ItemKind::Upstream:
-        return item.isDeleted ? removeUpstream(item.key, item.revision, now) : applyUpstream(item, now);
+        return item.isDeleted ? removeUpstream(item.key, item.position(), now) : applyUpstream(item, now);
     case IItemDecoder::ItemKind::Other:
         break;
     }
@@ -43,9 +43,12 @@
 
 PublishedState::ChangeFlags PublishedState::applyConfiguration(const StoreItem &item)
 {
-    if (m_configurationItem && item.revision <= m_configurationItem->revision) {
+    const bool isKnown = m_configurationItem && item.position() <= m_configurationItem->position()
+        && item.era == m_configurationItem->era;
+    if (isKnown) {
         return {};
     }
+    // Versions order configurations across eras: an older copy of the store may have a lower one.
     auto decoded = m_decoder.decodeConfiguration(item);
     if (!decoded || (m_configuration && decoded->version <= m_configuration->version)) {
         return {};
@@ -55,54 +58,84 @@
     return {true, false};
 }
 
+bool PublishedState::isRestored(const StoreItem &item, const catalogue::UpstreamEntry &entry) const
+{
+    const auto removal = m_removals.find(item.key);
+    if (removal == m_removals.end() || removal->second.position.era >= item.era
+        || removal->second.startedAt != entry.startedAt) {
+        return false;
+    }
+    const auto restored = m_restored.find(item.key);
+    return restored == m_restored.end() || item.position() <= restored->second.item.position();
+}
+
 PublishedState::ChangeFlags PublishedState::applyUpstream(const StoreItem &item, MonoTime now)
 {
-    const auto knownRemoval = m_removedRevisions.find(item.key);
-    if (knownRemoval != m_removedRevisions.end() && item.revision <= knownRemoval->second) {
+    const auto removal = m_removals.find(item.key);
+    if (removal != m_removals.end() && item.position() <= removal->second.position) {
         return {};
     }
     const auto known = m_upstreams.find(item.key);
-    if (known != m_upstreams.end() && item.revision < known->second.item.revision) {
+    if (known != m_upstreams.end() && item.position() < known->second.item.position()) {
         return {};
     }
     auto entry = m_decoder.decodeUpstream(item);
     if (!entry) {
         // An unreadable entry removes its upstream.
-        return removeUpstream(item.key, item.revision, now);
+        return removeUpstream(item.key, item.position(), now);
     }
     if (known != m_upstreams.end()) {
         UpstreamRecord &record = known->second;
+        if (item.era > record.item.era && entry->startedAt < record.entry.startedAt) {
+            // An older copy of the store has an earlier run.
+            return {};
+        }
         // Within one run an upstream that leaves never comes back, whatever an outdated item says.
         entry->isLeaving = entry->isLeaving || (record.entry.isLeaving && record.entry.startedAt == entry->startedAt);
         const bool isNew = !(record.entry == *entry) || record.removeAt;
-        record = UpstreamRecord{std::move(*entry), item, std::nullopt};
+        record = UpstreamRecord{std::move(*entry), item, std::nullopt, {}};
         return {false, isNew};
     }
-    m_upstreams.emplace(item.key, UpstreamRecord{std::move(*entry), item, std::nullopt});
+    if (isRestored(item, *entry)) {
+        m_restored.emplace(item.key, RestoredItem{item, now + m_parameters.restoredEntryDelay});
+        return {};
+    }
+    m_restored.erase(item.key);
+    m_upstreams.emplace(item.key, UpstreamRecord{std::move(*entry), item, std::nullopt, {}});
     return {false, true};
 }
 
-PublishedState::ChangeFlags PublishedState::removeUpstream(const std::string &key, std::uint64_t revision, MonoTime now)
+PublishedState::ChangeFlags PublishedState::removeUpstream(
+    const std::string &key, const StorePosition &position, MonoTime now)
 {
     const auto known = m_upstreams.find(key);
-    if (known != m_upstreams.end() && revision < known->second.item.revision) {
+    if (known != m_upstreams.end() && position < known->second.item.position()) {
         return {};
     }
     if (known != m_upstreams.end() && now < m_leaseGraceUntil && !known->second.entry.isLeaving) {
         if (!known->second.removeAt) {
             known->second.removeAt = m_leaseGraceUntil;
         }
+        known->second.missingAt = std::max(known->second.missingAt, position);
         return {};
     }
-    if (m_removedRevisions.size() >= maxRemovedKeys) {
-        m_removedRevisions.erase(m_removedRevisions.begin());
-    }
-    m_removedRevisions[key] = std::max(m_removedRevisions[key], revision);
+    m_restored.erase(key);
+    recordRemoval(key, position, known == m_upstreams.end() ? 0 : known->second.entry.startedAt);
     return {false, m_upstreams.erase(key) > 0};
 }
 
+void PublishedState::recordRemoval(const std::string &key, const StorePosition &position, std::uint64_t startedAt)
+{
+    if (m_removals.size() >= maxRemovedKeys) {
+        m_removals.erase(m_removals.begin());
+    }
+    Removal &removal = m_removals[key];
+    removal.position = std::max(removal.position, position);
+    removal.startedAt = std::max(removal.startedAt, startedAt);
+}
+
 PublishedState::ChangeFlags PublishedState::applyAll(
-    const std::vector<StoreItem> &items, std::uint64_t revision, MonoTime now)
+    const std::vector<StoreItem> &items, const StorePosition &position, MonoTime now)
 {
     ChangeFlags flags;
     std::set<std::string> present;
@@ -112,14 +145,14 @@
     }
     std::vector<std::string> missing;
     for (const auto &[key, record] : m_upstreams) {
-        if (!present.contains(key) && record.item.revision <= revision) {
+        if (!present.contains(key) && record.item.position() <= position) {
             missing.push_back(key);
         }
     }
     for (const std::string &key : missing) {
-        flags.add(removeUpstream(key, revision, now));
+        flags.add(removeUpstream(key, position, now));
     }
-    m_revision = std::max(m_revision, revision);
+    m_position = std::max(m_position, position);
     m_isComplete = true;
     return flags;
 }
@@ -134,13 +167,24 @@
     ChangeFlags flags;
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
         if (it->second.removeAt && now >= *it->second.removeAt) {
-            m_removedRevisions[it->first] = std::max(m_removedRevisions[it->first], it->second.item.revision);
+            recordRemoval(
+                it->first, std::max(it->second.missingAt, it->second.item.position()), it->second.entry.startedAt);
             it = m_upstreams.erase(it);
             flags.hasChangedUpstreams = true;
         } else {
             ++it;
         }
     }
+    for (auto it = m_restored.begin(); it != m_restored.end();) {
+        if (now < it->second.usableFrom) {
+            ++it;
+            continue;
+        }
+        const StoreItem item = std::move(it->second.item);
+        it = m_restored.erase(it);
+        m_removals.erase(item.key);
+        flags.add(applyUpstream(item, now));
+    }
     return flags;
 }
 
@@ -164,15 +208,15 @@
     for (const auto &[key, record] : m_upstreams) {
         items.push_back(record.item);
     }
-    for (const auto &[key, revision] : m_removedRevisions) {
-        items.push_back(StoreItem{key, {}, revision, true});
+    for (const auto &[key, removal] : m_removals) {
+        items.push_back(StoreItem{key, {}, removal.position.revision, true, removal.position.era});
     }
     return items;
 }
 
-std::uint64_t PublishedState::revision() const
+StorePosition PublishedState::position() const
 {
-    return m_revision;
+    return m_position;
 }
 
 bool PublishedState::isComplete() const
@@ -180,9 +224,9 @@
     return m_isComplete;
 }
 
-void PublishedState::setComplete(std::uint64_t revision)
+void PublishedState::setComplete(const StorePosition &position)
 {
-    m_revision = std::max(m_revision, revision);
+    m_position = std::max(m_position, position);
     m_isComplete = true;
 }
 
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -22,6 +22,7 @@
 
 void StoreReader::start()
 {
+    m_loop.cancel(m_nextCallTimer);
     if (m_isWatching) {
         watch();
         return;
@@ -68,16 +69,19 @@
     if (m_readItems.empty()) {
         // The pages are not a consistent snapshot: changes made during the read come with a watch from the first
         // revision.
-        m_firstPageRevision = page->revision;
+        m_firstPagePosition = page->position;
+    } else if (page->position.era != m_firstPagePosition.era) {
+        readAgain("era", page->position);
+        return;
     }
     m_readItems.insert(m_readItems.end(), page->items.begin(), page->items.end());
     if (page->hasMore && !page->items.empty()) {
         readNextPage(page->items.back().key);
         return;
     }
-    m_callbacks.onChange(m_state.applyAll(m_readItems, m_firstPageRevision, m_loop.now()));
+    m_callbacks.onChange(m_state.applyAll(m_readItems, m_firstPagePosition, m_loop.now()));
     m_readItems.clear();
-    m_watchRevision = m_firstPageRevision;
+    m_watchPosition = m_firstPagePosition;
     m_isWatching = true;
     confirm(m_loop.now());
     watch();
@@ -89,29 +93,44 @@
     m_watchStartedAt = m_loop.now();
     ++m_watchNumber;
     m_isWatchOpen = true;
-    m_client.watch(m_watchRevision, m_parameters.watchTimeout, [this](const Result<StoreChanges> &changes) {
+    m_client.watch(m_watchPosition.revision, m_parameters.watchTimeout, [this](const Result<StoreChanges> &changes) {
         onChanges(changes);
     });
 }
 
 bool StoreReader::applyChanges(const StoreChanges &changes)
 {
-    if (changes.isHistoryLost) {
-        logging::write(logging::Level::Info, "published", "history_lost", {{"revision", m_watchRevision}});
-        m_isWatching = false;
-        start();
+    if (changes.isHistoryLost || changes.position.era != m_watchPosition.era) {
+        readAgain(changes.isHistoryLost ? "history" : "era", changes.position);
         return false;
     }
     PublishedState::ChangeFlags flags;
     for (const StoreItem &item : changes.items) {
         flags.add(m_state.apply(item, m_loop.now()));
     }
-    m_watchRevision = std::max(m_watchRevision, changes.revision);
+    m_watchPosition = std::max(m_watchPosition, changes.position);
     m_callbacks.onChange(flags);
     confirm(m_loop.now());
     return true;
 }
 
+void StoreReader::readAgain(std::string_view reason, const StorePosition &found)
+{
+    logging::write(logging::Level::Info, "published", "history_lost",
+        {{"revision", m_watchPosition.revision}, {"era", m_watchPosition.era}, {"found_era", found.era},
+            {"reason", reason}});
+    if (found.era != m_watchPosition.era) {
+        // Entries that were written after the copy was made are written again, as after an expired lease.
+        m_state.onStoreReconnected(m_loop.now());
+    }
+    if (m_isWatchOpen) {
+        m_client.cancelWatch();
+        m_isWatchOpen = false;
+    }
+    m_isWatching = false;
+    start();
+}
+
 void StoreReader::onChanges(const Result<StoreChanges> &changes)
 {
     m_isWatchOpen = false;
@@ -128,7 +147,7 @@
         watch();
         return;
     }
-    m_loop.after(m_parameters.batchDelay, [this] {
+    m_nextCallTimer = m_loop.after(m_parameters.batchDelay, [this] {
         watch();
     });
 }
@@ -163,7 +182,7 @@
     m_readItems.clear();
     const Milliseconds delay = std::max(m_retryDelay, m_parameters.minRetryDelay);
     m_retryDelay = std::min(delay * 2, m_parameters.maxRetryDelay);
-    m_loop.after(delay + jitter(delay), [this] {
+    m_nextCallTimer = m_loop.after(delay + jitter(delay), [this] {
         start();
     });
 }
@@ -173,15 +192,15 @@
     return Milliseconds(static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(max.count()) + 1)));
 }
 
-void StoreReader::onPeerConfirmation(std::uint64_t revision, MonoTime at)
+void StoreReader::onPeerConfirmation(const StorePosition &position, MonoTime at)
 {
-    if (revision <= m_state.revision()) {
+    if (position <= m_state.position()) {
         confirm(at);
     }
     const bool isNewReason
-        = revision > m_renewedForRevision || m_loop.now() - m_renewedAt > m_parameters.minRenewalInterval;
-    if (revision > m_watchRevision && isNewReason) {
-        m_renewedForRevision = revision;
+        = position > m_renewedForPosition || m_loop.now() - m_renewedAt > m_parameters.minRenewalInterval;
+    if (position > m_watchPosition && isNewReason) {
+        m_renewedForPosition = position;
         m_renewedAt = m_loop.now();
         scheduleRenewal(m_parameters.watchRenewalDelay + jitter(m_parameters.watchRenewalDelay));
     }
@@ -222,7 +241,7 @@
     ++m_callCount;
     m_isCheckOpen = true;
     m_checks.onNotConfirmed(m_loop.now(), m_callbacks.instanceCount(), m_random);
-    m_client.check(m_watchRevision, [this](const Result<StoreChanges> &changes) {
+    m_client.check(m_watchPosition.revision, [this](const Result<StoreChanges> &changes) {
         m_isCheckOpen = false;
         onCheckAnswer(changes);
     });
@@ -241,10 +260,6 @@
         return;
     }
     onSuccess();
-    if (changes->isHistoryLost) {
-        m_client.cancelWatch();
-        m_isWatchOpen = false;
-    }
     if (!applyChanges(*changes)) {
         return;
     }
@@ -266,8 +281,12 @@
         if (!m_isWatchOpen || number != m_watchNumber) {
             return;
         }
+        if (m_renewedForPosition.era > m_watchPosition.era) {
+            readAgain("era", m_renewedForPosition);
+            return;
+        }
         logging::write(logging::Level::Info, "published", "watch_renewed",
-            {{"revision", m_watchRevision},
+            {{"revision", m_watchPosition.revision},
                 {"open_ms", std::int64_t{toMilliseconds(m_loop.now() - m_watchStartedAt).count()}}});
         m_client.cancelWatch();
         watch();
--- a/src/published/istoreclient.h
+++ b/src/published/istoreclient.h
@@ -17,16 +17,16 @@
 {
     std::vector<StoreItem> items;
     bool hasMore = false;
-    /** The store's revision when the page was read. */
-    std::uint64_t revision = 0;
+    /** The store's position when the page was read. */
+    StorePosition position;
 };
 
 /** Changes after a given revision. */
 struct StoreChanges
 {
     std::vector<StoreItem> items;
-    /** Revision from which the next watch continues. */
-    std::uint64_t revision = 0;
+    /** Position from which the next watch continues. */
+    StorePosition position;
     /** The store no longer has the changes after the given revision; a full read is needed. */
     bool isHistoryLost = false;
 };
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -1,7 +1,8 @@
 // The published state as far as this instance knows it: the newest configuration and the upstreams.
 //
 // It does no I/O: items from the store or from peers, and the time, are passed in. The state never goes back: a
-// configuration of a lower version or an item of a lower revision changes nothing.
+// configuration of a lower version or an item of a lower position changes nothing. That also holds where the store
+// itself has come back from an older copy: what it lost is written to it again.
 #pragma once
 
 #include "catalogue/types/catalogue.h"
@@ -27,6 +28,11 @@
      * then a missing entry does not count as removed. The specified bound is about two seconds.
      */
     Milliseconds leaseGrace{2000};
+    /**
+     * Time for which a removed run of an upstream that an older copy of the store has again is not used. The lease of
+     * one that is gone expires meanwhile, after three heartbeats of at most 1.5 s.
+     */
+    Milliseconds restoredEntryDelay{5000};
 };
 
 class PublishedState
@@ -38,6 +44,8 @@
         StoreItem item;
         /** Removal time of an entry that is missing from the store, but whose lease may only have expired. */
         std::optional<MonoTime> removeAt;
+        /** Position at which the entry was missing; set with `removeAt`. */
+        StorePosition missingAt;
     };
 
     /** The parts of the state that a change has affected. */
@@ -53,38 +61,54 @@
 
     /** Applies one change from the store or a peer. */
     ChangeFlags apply(const StoreItem &item, MonoTime now);
-    /** Applies the whole content of the store at `revision`; known upstreams that are not in it are removed. */
-    ChangeFlags applyAll(const std::vector<StoreItem> &items, std::uint64_t revision, MonoTime now);
+    /** Applies the whole content of the store at `position`; known upstreams that are not in it are removed. */
+    ChangeFlags applyAll(const std::vector<StoreItem> &items, const StorePosition &position, MonoTime now);
     /** Starts the lease grace when the store answers again after a failure. */
     void onStoreReconnected(MonoTime now);
-    /** Removes missing entries whose lease grace has ended. */
+    /** Removes missing entries whose lease grace has ended, and adds restored ones that have outlived their leases. */
     ChangeFlags removeExpired(MonoTime now);
 
     [[nodiscard]] std::shared_ptr<const catalogue::Catalogue> configuration() const;
     [[nodiscard]] const std::map<std::string, UpstreamRecord> &upstreams() const;
     /** Returns all known items, including removals, for a peer that lacks some of them. */
     [[nodiscard]] std::vector<StoreItem> items() const;
-    /** Returns the highest revision of all applied changes. */
-    [[nodiscard]] std::uint64_t revision() const;
-    /** Returns whether the whole state at some revision is known. */
+    /** Returns the highest position of all applied changes. */
+    [[nodiscard]] StorePosition position() const;
+    /** Returns whether the whole state at some position is known. */
     [[nodiscard]] bool isComplete() const;
-    /** Marks the state as complete at `revision` after the snapshot of a peer was applied. */
-    void setComplete(std::uint64_t revision);
+    /** Marks the state as complete at `position` after the snapshot of a peer was applied. */
+    void setComplete(const StorePosition &position);
 
 private:
     ChangeFlags applyConfiguration(const StoreItem &item);
     ChangeFlags applyUpstream(const StoreItem &item, MonoTime now);
-    ChangeFlags removeUpstream(const std::string &key, std::uint64_t revision, MonoTime now);
+    ChangeFlags removeUpstream(const std::string &key, const StorePosition &position, MonoTime now);
+    void recordRemoval(const std::string &key, const StorePosition &position, std::uint64_t startedAt);
+    /** Whether the entry is of a run that was removed in an earlier era, and has not been written since. */
+    [[nodiscard]] bool isRestored(const StoreItem &item, const catalogue::UpstreamEntry &entry) const;
 
     const IItemDecoder &m_decoder;
     PublishedStateParameters m_parameters;
     std::shared_ptr<const catalogue::Catalogue> m_configuration;
     std::optional<StoreItem> m_configurationItem;
     std::map<std::string, UpstreamRecord> m_upstreams;
-    // Removed keys; an item at or below the revision of its removal is not applied again.
-    std::map<std::string, std::uint64_t> m_removedRevisions;
+    struct Removal
+    {
+        StorePosition position;
+        /** Start time of the removed run; 0 if it is not known. */
+        std::uint64_t startedAt = 0;
+    };
+    struct RestoredItem
+    {
+        StoreItem item;
+        MonoTime usableFrom{};
+    };
+    // Removed keys; an item at or below the position of its removal is not applied again.
+    std::map<std::string, Removal> m_removals;
+    // Items of removed runs that an older copy of the store has again; see `restoredEntryDelay`.
+    std::map<std::string, RestoredItem> m_restored;
     MonoTime m_leaseGraceUntil{};
-    std::uint64_t m_revision = 0;
+    StorePosition m_position;
     bool m_isComplete = false;
 };
 
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace magnolia::published
@@ -56,8 +57,8 @@
         StoreReaderCallbacks callbacks, StoreReaderParameters parameters = {});
 
     void start();
-    /** Records that the store had no change after `revision` at the time `at`, as a peer has announced. */
-    void onPeerConfirmation(std::uint64_t revision, MonoTime at);
+    /** Records that the store had no change after `position` at the time `at`, as a peer has announced. */
+    void onPeerConfirmation(const StorePosition &position, MonoTime at);
     /** Returns whether the last call succeeded. */
     [[nodiscard]] bool isConnected() const;
     /** Returns the time of the last successful call. */
@@ -72,8 +73,10 @@
     void onPage(const Result<StorePage> &page);
     void watch();
     void onChanges(const Result<StoreChanges> &changes);
-    /** Applies the changes; returns false if the store no longer has them and everything is read again. */
+    /** Applies the changes; returns false if the store no longer has them all and everything is read again. */
     bool applyChanges(const StoreChanges &changes);
+    /** Reads everything again, since the changes after the watched position are not all to be had. */
+    void readAgain(std::string_view reason, const StorePosition &found);
     void onFailure(const Error &error);
     void onSuccess();
     void markLost(const Error &error);
@@ -92,8 +95,9 @@
     StoreReaderCallbacks m_callbacks;
     StoreReaderParameters m_parameters;
     std::vector<StoreItem> m_readItems;
-    std::uint64_t m_firstPageRevision = 0;
-    std::uint64_t m_watchRevision = 0;
+    // Position of the first page of the read in progress; the later pages must be of the same era.
+    StorePosition m_firstPagePosition;
+    StorePosition m_watchPosition;
     MonoTime m_watchStartedAt{};
     MonoTime m_lastAnswerAt{};
     // After a failure, missed changes are read without delays until a watch has to wait.
@@ -109,12 +113,14 @@
     std::uint64_t m_watchNumber = 0;
     bool m_isWatchOpen = false;
     bool m_isCheckOpen = false;
+    // The next read or watch, after a failure or a change; only one of these calls is open or planned at a time.
+    eventloop::TimerId m_nextCallTimer = 0;
     eventloop::TimerId m_checkTimer = 0;
     eventloop::TimerId m_renewalTimer = 0;
     // Number of the watch for which the renewal is planned.
     std::uint64_t m_renewalWatchNumber = 0;
-    // Highest revision for which the watch was replaced, and when.
-    std::uint64_t m_renewedForRevision = 0;
+    // Highest position for which the watch was replaced, and when.
+    StorePosition m_renewedForPosition;
     MonoTime m_renewedAt{};
 };
 
--- a/src/published/tests/publishedstatetests.cpp
+++ b/src/published/tests/publishedstatetests.cpp
@@ -13,7 +13,7 @@
 
 const MonoTime start{std::chrono::seconds(100)};
 
-/** Decodes "c" as a configuration version, and "ready" or "leaving" under other keys as an upstream. */
+/** Decodes "c" as a configuration version, and "ready" or "leaving", perhaps with a start time, as an upstream. */
 class FakeDecoder : public IItemDecoder
 {
 public:
@@ -30,12 +30,15 @@
     }
     std::optional<catalogue::UpstreamEntry> decodeUpstream(const StoreItem &item) const override
     {
-        if (item.bytes != "ready" && item.bytes != "leaving") {
+        if (!item.bytes.starts_with("ready") && !item.bytes.starts_with("leaving")) {
             return std::nullopt;
         }
+        const std::size_t at = item.bytes.find(' ');
+        const std::uint64_t startedAt = at == std::string::npos ? 0 : std::stoull(item.bytes.substr(at));
         catalogue::UpstreamEntry decoded;
         decoded.id = UpstreamId(item.key);
-        decoded.isLeaving = item.bytes == "leaving";
+        decoded.isLeaving = item.bytes.starts_with("leaving");
+        decoded.startedAt = startedAt;
         return decoded;
     }
 };
@@ -84,9 +87,9 @@
 {
     const FakeDecoder decoder;
     PublishedState state(decoder);
-    state.applyAll({{"u", "ready", 1, false}, {"v", "ready", 2, false}}, 2, start);
+    state.applyAll({{"u", "ready", 1, false}, {"v", "ready", 2, false}}, {0, 2}, start);
     state.onStoreReconnected(start);
-    state.applyAll({}, 9, start);
+    state.applyAll({}, {0, 9}, start);
     CHECK(state.upstreams().size() == 2);
     state.apply({"u", "ready", 10, false}, start + Milliseconds(500));
     CHECK_FALSE(state.removeExpired(start + Milliseconds(1900)).hasChangedUpstreams);
@@ -109,7 +112,7 @@
 {
     const FakeDecoder decoder;
     PublishedState state(decoder);
-    state.applyAll({{"u", "ready", 1, false}, {"v", "\x01\x02", 2, false}, {"x", "?", 3, false}}, 3, start);
+    state.applyAll({{"u", "ready", 1, false}, {"v", "\x01\x02", 2, false}, {"x", "?", 3, false}}, {0, 3}, start);
     CHECK(state.upstreams().size() == 1);
     state.apply({"u", "garbage", 4, false}, start);
     CHECK(state.upstreams().empty());
@@ -119,7 +122,7 @@
 {
     const FakeDecoder decoder;
     PublishedState one(decoder);
-    one.applyAll({{"c", "7", 3, false}, {"u", "ready", 1, false}, {"v", "ready", 2, false}}, 3, start);
+    one.applyAll({{"c", "7", 3, false}, {"u", "ready", 1, false}, {"v", "ready", 2, false}}, {0, 3}, start);
     one.apply({"v", "", 4, true}, start);
     PublishedState two(decoder);
     two.apply({"v", "ready", 2, false}, start);
@@ -128,5 +131,89 @@
     }
     CHECK(two.configuration()->version == 7);
     CHECK(two.upstreams().size() == 1);
-    CHECK(two.revision() == one.revision());
+    CHECK(two.position() == one.position());
+}
+
+TEST_CASE("changes that are written again after the store came back older apply in spite of their lower revisions")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"c", "5", 90, false, 1}, {"u", "ready", 91, false, 1}}, {1, 100}, start);
+    // The copy has an earlier configuration, which does not come into force.
+    CHECK_FALSE(state.applyAll({{"c", "3", 40, false, 2}}, {2, 50}, start).hasNewConfiguration);
+    CHECK(state.configuration()->version == 5);
+    CHECK_FALSE(state.apply({"c", "5", 51, false, 2}, start).hasNewConfiguration);
+    CHECK(state.apply({"c", "7", 52, false, 2}, start).hasNewConfiguration);
+    CHECK(state.apply({"v", "ready", 53, false, 2}, start).hasChangedUpstreams);
+    CHECK(state.apply({"u", "leaving", 54, false, 2}, start).hasChangedUpstreams);
+    CHECK(state.position() == StorePosition{2, 54});
+}
+
+TEST_CASE("an instance that has read an older copy of the store takes a newer configuration from a peer")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"c", "3", 40, false, 2}}, {2, 50}, start);
+    CHECK(state.apply({"c", "5", 90, false, 1}, start).hasNewConfiguration);
+    CHECK(state.apply({"c", "6", 51, false, 2}, start).hasNewConfiguration);
+}
+
+TEST_CASE("an upstream whose registration the store has lost is kept for the lease grace")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "ready 1", 91, false, 1}}, {1, 100}, start);
+    state.onStoreReconnected(start);
+    state.applyAll({}, {2, 50}, start);
+    CHECK(state.upstreams().contains("u"));
+    CHECK(state.removeExpired(start + Milliseconds(2100)).hasChangedUpstreams);
+    // The registration is written again late, with a revision of the new era.
+    CHECK(state.apply({"u", "ready 1", 60, false, 2}, start + Milliseconds(2200)).hasChangedUpstreams);
+}
+
+TEST_CASE("a removed upstream that an older copy of the store has again is not used until its lease would have expired")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "ready 1", 40, false, 1}, {"v", "ready 1", 41, false, 1}}, {1, 41}, start);
+    state.apply({"u", "", 90, true, 1}, start);
+    state.apply({"v", "", 91, true, 1}, start);
+    state.applyAll({{"u", "ready 1", 40, false, 2}, {"v", "ready 1", 41, false, 2}}, {2, 50}, start);
+    CHECK(state.upstreams().empty());
+    CHECK_FALSE(state.removeExpired(start + Milliseconds(4900)).hasChangedUpstreams);
+    // One is gone, the lease of the other is renewed.
+    state.apply({"u", "", 51, true, 2}, start + Milliseconds(4950));
+    CHECK(state.removeExpired(start + Milliseconds(5100)).hasChangedUpstreams);
+    CHECK_FALSE(state.upstreams().contains("u"));
+    CHECK(state.upstreams().contains("v"));
+}
+
+TEST_CASE("a removed upstream that an older copy of the store has again is used once it has registered again")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "ready 1", 40, false, 1}}, {1, 41}, start);
+    state.apply({"u", "", 90, true, 1}, start);
+    state.applyAll({{"u", "ready 1", 40, false, 2}}, {2, 50}, start);
+    CHECK(state.upstreams().empty());
+    CHECK(state.apply({"u", "ready 1", 51, false, 2}, start).hasChangedUpstreams);
+}
+
+TEST_CASE("an earlier run of an upstream in an older copy of the store does not replace the present one")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "ready 7", 90, false, 1}}, {1, 90}, start);
+    state.applyAll({{"u", "leaving 5", 40, false, 2}}, {2, 50}, start);
+    CHECK(state.upstreams().at("u").entry.startedAt == 7);
+    CHECK_FALSE(state.upstreams().at("u").entry.isLeaving);
+}
+
+TEST_CASE("an upstream that leaves stays leaving when an older copy of the store calls it ready")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "leaving 7", 90, false, 1}}, {1, 90}, start);
+    state.applyAll({{"u", "ready 7", 40, false, 2}}, {2, 50}, start);
+    CHECK(state.upstreams().at("u").entry.isLeaving);
 }
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -33,8 +33,9 @@
 public:
     void readPage(const std::string & /*afterKey*/, std::function<void(Result<StorePage>)> done) override
     {
+        ++readCount;
         StorePage page;
-        page.revision = 1;
+        page.position = {era, 1};
         done(page);
     }
     void watch(std::uint64_t revision, Milliseconds /*wait*/, std::function<void(Result<StoreChanges>)> done) override
@@ -49,8 +50,8 @@
             return;
         }
         StoreChanges changes;
-        changes.items.push_back({"k", "", revision + 1, false});
-        changes.revision = revision + 1;
+        changes.items.push_back({"k", "", revision + 1, false, era});
+        changes.position = {era, revision + 1};
         done(changes);
     }
     void cancelWatch() override
@@ -64,13 +65,15 @@
             return;
         }
         StoreChanges changes;
-        changes.revision = lastRevision;
+        changes.position = {era, lastRevision};
         if (revision < lastRevision) {
-            changes.items.push_back({"k", "", lastRevision, false});
+            changes.items.push_back({"k", "", lastRevision, false, era});
         }
         done(changes);
     }
 
+    std::uint64_t era = 0;
+    int readCount = 0;
     int checkCount = 0;
     /** Checks are not answered. */
     bool isSilent = false;
@@ -162,7 +165,7 @@
     const auto callsBefore = reader.callCount();
     StoreChanges changes;
     changes.items.push_back({"k", "", 2, false});
-    changes.revision = 2;
+    changes.position = {0, 2};
     std::exchange(store.pendingWatch, nullptr)(changes);
     CHECK(reader.callCount() == callsBefore);
 }
@@ -181,7 +184,7 @@
         return store.watchedRevisions.back() == 2;
     });
     CHECK(store.watchedRevisions.back() == 2);
-    CHECK(state.revision() == 2);
+    CHECK(state.position().revision == 2);
 }
 
 TEST_CASE("a watch that lacks a change which a peer has announced is replaced, and not again for the same change")
@@ -198,10 +201,10 @@
     const auto isReplaced = [&] {
         return store.watchedRevisions.size() == 2;
     };
-    reader.onPeerConfirmation(7, loop.now());
+    reader.onPeerConfirmation({0, 7}, loop.now());
     runUntil(loop, isReplaced);
     REQUIRE(isReplaced());
-    reader.onPeerConfirmation(7, loop.now());
+    reader.onPeerConfirmation({0, 7}, loop.now());
     runUntil(
         loop,
         [] {
@@ -210,3 +213,42 @@
         Milliseconds(30));
     CHECK(store.watchedRevisions.size() == 2);
 }
+
+TEST_CASE("everything is read again when an answer shows that the store came back older")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    store.era = 4;
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
+    reader.start();
+    REQUIRE(store.readCount == 1);
+    store.era = 5;
+    runUntil(loop, [&] {
+        return store.readCount == 2;
+    });
+    CHECK(store.readCount == 2);
+    CHECK(state.position() == StorePosition{5, 1});
+    CHECK(store.pendingWatch);
+}
+
+TEST_CASE("everything is read again when a peer has seen a later era of the store")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    store.era = 4;
+    StoreReaderParameters parameters = makeParameters();
+    parameters.check.interval = Milliseconds(3'600'000);
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
+    reader.start();
+    store.era = 5;
+    reader.onPeerConfirmation({5, 1}, loop.now());
+    runUntil(loop, [&] {
+        return store.readCount == 2;
+    });
+    CHECK(store.readCount == 2);
+    CHECK(state.position().era == 5);
+}
--- a/tests/soak/soakstore.cpp
+++ b/tests/soak/soakstore.cpp
@@ -75,6 +75,11 @@
         m_items[change.key] = change;
     }
     m_history.push_back(change);
+    serveWatches();
+}
+
+void SoakStore::serveWatches()
+{
     if (m_mode != Mode::Serving) {
         return;
     }
@@ -100,6 +105,55 @@
     }
 }
 
+void SoakStore::takeCopy()
+{
+    m_copy = Copy{m_items, m_history, m_revision, m_historyStartRevision};
+}
+
+void SoakStore::restoreCopy(Milliseconds rewriteDelay)
+{
+    if (!m_copy) {
+        return;
+    }
+    // Changes to write again; those to a key that has been written since the return are void.
+    std::vector<Change> lost;
+    for (const auto &[key, change] : m_items) {
+        if (change.revision > m_copy->revision) {
+            lost.push_back(change);
+        }
+    }
+    for (const auto &[key, change] : m_copy->items) {
+        if (!m_items.contains(key)) {
+            lost.push_back({key, {}, 0, true});
+        }
+    }
+    const std::uint64_t copiedRevision = m_copy->revision;
+    m_items = m_copy->items;
+    m_history = m_copy->history;
+    m_revision = m_copy->revision;
+    m_historyStartRevision = m_copy->historyStartRevision;
+    m_copy.reset();
+    ++m_era;
+    // Watches from a revision that is not known any more end; the others go on.
+    serveWatches();
+    m_loop.after(rewriteDelay, [this, lost, copiedRevision] {
+        for (const Change &it : lost) {
+            const auto present = m_items.find(it.key);
+            const bool isWrittenSince = present != m_items.end() && present->second.revision > copiedRevision;
+            if (!isWrittenSince && it.isDeleted) {
+                remove(it.key);
+            } else if (!isWrittenSince) {
+                put(it.key, it.value);
+            }
+        }
+    });
+}
+
+void SoakStore::respond(ServedConnection &connection, int status, const std::string &body)
+{
+    connection.sendResponse(status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}}, body);
+}
+
 void SoakStore::discardHistory()
 {
     m_history.clear();
@@ -114,7 +168,7 @@
 void SoakStore::serve(const std::shared_ptr<ServedConnection> &connection, const Request &request)
 {
     if (m_mode == Mode::Unavailable) {
-        connection->sendResponse(503, {}, {});
+        respond(*connection, 503, {});
         return;
     }
     if (m_mode == Mode::Resetting) {
@@ -130,7 +184,7 @@
         return;
     }
     if (uri.getPath() != "/-/kv-watch") {
-        connection->sendResponse(404, {}, {});
+        respond(*connection, 404, {});
         return;
     }
     const std::uint64_t afterRevision = parseNumber(queryParameter(uri, "After"));
@@ -157,14 +211,14 @@
             {"Created", it->second.revision}, {"Lease", 0}});
     }
     const Json body{{"Items", items}, {"HasMore", it != m_items.end()}, {"At", m_revision}};
-    connection.sendResponse(200, {{"Content-Type", "application/json"}}, body.dump());
+    respond(connection, 200, body.dump());
 }
 
 /** Returns false, without a response, if there are no new events and an empty response is not allowed. */
 bool SoakStore::serveWatch(ServedConnection &connection, std::uint64_t afterRevision, bool canBeEmpty)
 {
-    if (afterRevision < m_historyStartRevision) {
-        connection.sendResponse(historyLostStatus, {}, {});
+    if (afterRevision < m_historyStartRevision || afterRevision > m_revision) {
+        respond(connection, historyLostStatus, {});
         return true;
     }
     Json events = Json::array();
@@ -182,8 +236,7 @@
     if (events.empty() && !canBeEmpty) {
         return false;
     }
-    connection.sendResponse(
-        200, {{"Content-Type", "application/json"}}, Json{{"events", events}, {"At", m_revision}}.dump());
+    respond(connection, 200, Json{{"events", events}, {"At", m_revision}}.dump());
     return true;
 }
 
--- a/tests/soak/tests/storetests.cpp
+++ b/tests/soak/tests/storetests.cpp
@@ -148,3 +148,37 @@
         },
         applyLimit));
 }
+
+TEST_CASE("a configuration that is published after the store came back older is in force on all gateways")
+{
+    StoreFixture fixture;
+    REQUIRE(fixture.runUntil(
+        [&] {
+            return fixture.isInForceEverywhere(1);
+        },
+        applyLimit));
+    // Revisions of the lost time, far above those that are given out again.
+    fixture.store.takeCopy();
+    for (int i = 0; i < 50; ++i) {
+        fixture.store.put("other", std::to_string(i));
+    }
+    fixture.publish(2);
+    REQUIRE(fixture.runUntil(
+        [&] {
+            return fixture.isInForceEverywhere(2);
+        },
+        applyLimit));
+    fixture.store.restoreCopy(Milliseconds(300));
+    fixture.runUntil(
+        [] {
+            return false;
+        },
+        Milliseconds(1000));
+    CHECK(fixture.isInForceEverywhere(2));
+    fixture.publish(3);
+    CHECK(fixture.runUntil(
+        [&] {
+            return fixture.isInForceEverywhere(3);
+        },
+        applyLimit));
+}
