--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -12,6 +12,15 @@
 
 /** A leaving upstream must get no requests after 2000 ms (documented limit); 1000 ms are allowed for transmission. */
 constexpr Milliseconds maxDrainDelay{2000 + 1000};
+/** Time from the first answer with a limit after which the limit is kept (documented limit). */
+constexpr Milliseconds limitContactTime{3000};
+/** In this time an upstream may get one and a half times its limit and `limitSlack` more (documented limit). */
+constexpr Milliseconds limitWindow{4000};
+constexpr double limitFactor = 1.5;
+constexpr double limitSlack = 5;
+/** Requests that were under way when their gateway was turned away arrive within this time (documented limit). */
+constexpr Milliseconds turnAwayDelay{500};
+constexpr int maxArrivalsTurnedAway = 2;
 /** Documented time in which an instance reconnects to the store after a disruption. */
 constexpr Milliseconds storeReconnectTime{3000};
 /** A configuration must be applied within 2000 ms (documented limit); 1000 ms are allowed for transmission. */
@@ -79,6 +88,60 @@
     }
 }
 
+void Ledger::recordLimit(const std::string &upstream, std::optional<double> requestsPerSecond, MonoTime at)
+{
+    if (!requestsPerSecond) {
+        m_limits.erase(upstream);
+    } else if (m_limits.contains(upstream)) {
+        m_limits[upstream].requestsPerSecond = *requestsPerSecond;
+    } else {
+        m_limits[upstream] = {*requestsPerSecond, at, {}};
+    }
+}
+
+void Ledger::checkLimit(const std::string &id, const std::string &upstream, MonoTime now)
+{
+    const auto found = m_limits.find(upstream);
+    if (found == m_limits.end()) {
+        return;
+    }
+    Limit &limit = found->second;
+    if (now < std::max(limit.since + limitContactTime, m_disruptedUntil)) {
+        return;
+    }
+    limit.arrivals.push_back(now);
+    while (now - limit.arrivals.front() >= limitWindow) {
+        limit.arrivals.pop_front();
+    }
+    const double seconds = std::chrono::duration<double>(limitWindow).count();
+    const double allowed = limitFactor * limit.requestsPerSecond * seconds + limitSlack;
+    if (m_hasTimedChecks && static_cast<double>(limit.arrivals.size()) > allowed) {
+        addViolation("limit", id,
+            upstream + " received " + std::to_string(limit.arrivals.size()) + " requests in 4 s; allowed are "
+                + std::to_string(allowed));
+    }
+}
+
+void Ledger::recordTurnedAway(const std::string &id, const std::string &upstream, MonoTime at, Milliseconds time)
+{
+    TurnedAway &it = m_turnedAway[{upstream, record(id).process}];
+    if (at >= it.until) {
+        it = {at + turnAwayDelay, at + time, 0};
+    }
+}
+
+void Ledger::checkTurnedAway(const std::string &id, const std::string &upstream, MonoTime now)
+{
+    const auto found = m_turnedAway.find({upstream, record(id).process});
+    if (found == m_turnedAway.end() || now < found->second.from || now >= found->second.until) {
+        return;
+    }
+    if (m_hasTimedChecks && now >= m_disruptedUntil && ++found->second.arrivalCount > maxArrivalsTurnedAway) {
+        addViolation("retry after", id,
+            upstream + " received a request from " + record(id).process + " in the time for which it wanted none");
+    }
+}
+
 void Ledger::setPlannedPhase(MonoTime from, MonoTime until)
 {
     m_plannedFrom = from;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -4,7 +4,9 @@
 #include "framework/global/types/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -72,6 +74,14 @@
     void recordDisruption(MonoTime until);
     /** Checks, when a request arrives at `upstream`, that the upstream has not been leaving for too long. */
     void checkDrain(const std::string &id, const std::string &upstream, MonoTime now);
+    /** Records that `upstream` names a limit on the requests per second of all gateways from `at` on, or none. */
+    void recordLimit(const std::string &upstream, std::optional<double> requestsPerSecond, MonoTime at);
+    /** Checks, when a request arrives at `upstream`, that the gateways keep its limit. */
+    void checkLimit(const std::string &id, const std::string &upstream, MonoTime now);
+    /** Records that `upstream` has refused request `id` and wants nothing from its gateway for `time`. */
+    void recordTurnedAway(const std::string &id, const std::string &upstream, MonoTime at, Milliseconds time);
+    /** Checks, when a request arrives at `upstream`, that its gateway was not turned away. */
+    void checkTurnedAway(const std::string &id, const std::string &upstream, MonoTime now);
     /** Sets the phase with planned actions only, in which no response may be interrupted. */
     void setPlannedPhase(MonoTime from, MonoTime until);
     void recordConfigurationVersion(std::uint64_t version, const std::string &service, MonoTime at);
@@ -94,6 +104,22 @@
     bool m_hasTimedChecks;
     std::map<std::string, RequestRecord> m_records;
     std::map<std::string, MonoTime> m_leavingSince;
+    struct Limit
+    {
+        double requestsPerSecond = 0;
+        MonoTime since{};
+        std::deque<MonoTime> arrivals;
+    };
+    struct TurnedAway
+    {
+        MonoTime from{};
+        MonoTime until{};
+        int arrivalCount = 0;
+    };
+
+    std::map<std::string, Limit> m_limits;
+    // By upstream and gateway process.
+    std::map<std::pair<std::string, std::string>, TurnedAway> m_turnedAway;
     MonoTime m_disruptedUntil{};
     MonoTime m_plannedFrom{};
     MonoTime m_plannedUntil{};
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds eventInterval{20};
 constexpr Milliseconds plainResponseDelay{15};
 constexpr int slots = 16;
+/** Retry-After of an upstream that turns gateways away. */
+constexpr Milliseconds turnAwayTime{2000};
 
 int queryNumber(const std::string &target, const std::string &name)
 {
@@ -62,6 +64,7 @@
     ++m_startTimestamp;
     m_isLeaving = false;
     m_faultMode = FaultMode::None;
+    setLimit(std::nullopt);
     m_reservations.clear();
     m_ledger.clearLeaving(id);
     m_listener->listen(m_options.ip + ":0");
@@ -121,6 +124,26 @@
     m_faultMode = faultMode;
 }
 
+void SoakUpstream::setLimit(std::optional<double> requestsPerSecond)
+{
+    m_limit = requestsPerSecond;
+    m_ledger.recordLimit(m_id, requestsPerSecond, m_loop.now());
+}
+
+SoakUpstream::Fields SoakUpstream::answerFields(const std::string &id, Fields more) const
+{
+    if (!id.empty()) {
+        more.emplace_back("Request-Id", id);
+    }
+    if (m_isLeaving) {
+        more.emplace_back("Server-Leaving", "1");
+    }
+    if (m_limit) {
+        more.emplace_back("Server-Limit", std::to_string(*m_limit));
+    }
+    return more;
+}
+
 Proxy &SoakUpstream::proxy()
 {
     return *m_proxy;
@@ -164,10 +187,19 @@
         return;
     }
     m_ledger.checkDrain(id, m_id, m_loop.now());
+    m_ledger.checkLimit(id, m_id, m_loop.now());
+    m_ledger.checkTurnedAway(id, m_id, m_loop.now());
     RequestRecord &record = m_ledger.record(id);
     record.hasUpstreamFault = record.hasUpstreamFault || m_faultMode != FaultMode::None;
     if (m_faultMode == FaultMode::Refusing) {
-        connection->sendResponse(503, {{"Request-Id", id}, {"Not-Executed", "1"}}, {});
+        connection->sendResponse(503, answerFields(id, {{"Not-Executed", "1"}}), {});
+        return;
+    }
+    if (m_faultMode == FaultMode::TurningAway) {
+        m_ledger.recordTurnedAway(id, m_id, m_loop.now(), turnAwayTime);
+        connection->sendResponse(503,
+            answerFields(id, {{"Not-Executed", "1"}, {"Retry-After", std::to_string(turnAwayTime.count() / 1000)}}),
+            {});
         return;
     }
     m_ledger.recordExecution(id, m_id);
@@ -177,7 +209,7 @@
     }
     if (m_faultMode == FaultMode::Failing) {
         m_runningRequests.erase(id);
-        connection->sendResponse(500, {{"Request-Id", id}}, "failed");
+        connection->sendResponse(500, answerFields(id), "failed");
         return;
     }
     if (m_options.isEngine) {
@@ -201,7 +233,7 @@
         connection->reset();
         return;
     }
-    connection->sendResponse(200, {{"Request-Id", id}, {"Response-Signature", "s." + id}}, body);
+    connection->sendResponse(200, answerFields(id, {{"Response-Signature", "s." + id}}), body);
 }
 
 void SoakUpstream::startStream(
@@ -212,8 +244,15 @@
     stream->id = id;
     stream->nextEvent = std::atoi(fieldValue(request, "Last-Event-Id").c_str()) + 1;
     stream->lastEvent = std::max(1, queryNumber(request.head.target, "n"));
-    connection->send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s." + id
-        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    httpwire::ResponseHead head;
+    head.status = 200;
+    head.fields.add("Response-Signature", "s." + id);
+    head.fields.add("Content-Type", "text/event-stream");
+    head.fields.add("Transfer-Encoding", "chunked");
+    for (const auto &[name, value] : answerFields(id)) {
+        head.fields.add(name, value);
+    }
+    connection->send(httpwire::writeResponseHead(head));
     m_loop.after(eventInterval, [this, stream] {
         writeEvent(stream);
     });
@@ -254,24 +293,25 @@
 {
     const Json order = Json::parse(request.body, nullptr, false);
     if (!order.is_object()) {
-        connection.sendResponse(400, {}, {});
+        connection.sendResponse(400, answerFields({}), {});
         return;
     }
     const std::string reservationId = order.value("Id", "");
     if (order.value("Operation", "") == "release") {
         m_reservations.erase(reservationId);
-        connection.sendResponse(200, {}, "{}");
+        connection.sendResponse(200, answerFields({}), "{}");
         return;
     }
     const int tokens = order.value("Tokens", 0);
     const auto existing = m_reservations.find(reservationId);
     const int otherTokens = reservedTokens() - (existing == m_reservations.end() ? 0 : existing->second.tokens);
     if (tokens > m_options.kvCapacityTokens || otherTokens + tokens > m_options.kvCapacityTokens) {
-        connection.sendResponse(tokens > m_options.kvCapacityTokens ? 400 : 409, {}, {});
+        connection.sendResponse(tokens > m_options.kvCapacityTokens ? 400 : 409, answerFields({}), {});
         return;
     }
     m_reservations[reservationId] = {tokens, m_loop.now() + Milliseconds(order.value("HoldMs", 0))};
-    connection.sendResponse(200, {}, Json{{"Free", m_options.kvCapacityTokens - otherTokens - tokens}}.dump());
+    connection.sendResponse(
+        200, answerFields({}), Json{{"Free", m_options.kvCapacityTokens - otherTokens - tokens}}.dump());
 }
 
 } // namespace magnolia::soak
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
     Refusing,
     /** Accepts requests and does not respond. */
     Hanging,
+    /** Like `Refusing`, with the time for which the refused gateway shall send nothing. */
+    TurningAway,
 };
 
 class SoakUpstream
@@ -57,6 +60,8 @@
     void announceLeave();
     void stop();
     void setFaultMode(FaultMode faultMode);
+    /** Names in all answers the requests per second that it takes of all gateways together; none to name no limit. */
+    void setLimit(std::optional<double> requestsPerSecond);
     [[nodiscard]] Proxy &proxy();
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] bool isLeaving() const;
@@ -72,6 +77,10 @@
     };
     struct Stream;
 
+    using Fields = std::vector<std::pair<std::string, std::string>>;
+
+    /** Returns the header fields of an answer to request `id`, with what the upstream states about itself. */
+    [[nodiscard]] Fields answerFields(const std::string &id, Fields more = {}) const;
     void publish(const std::string &state);
     /** Marks running requests as interrupted by the upstream, so that they are not blamed on a gateway. */
     void interruptRunningRequests();
@@ -94,6 +103,7 @@
     std::uint64_t m_startTimestamp = 1'700'000'000'000;
     bool m_isLeaving = false;
     FaultMode m_faultMode = FaultMode::None;
+    std::optional<double> m_limit;
     std::map<std::string, Reservation> m_reservations;
     // Ids of requests that were started and have no complete response yet.
     std::set<std::string> m_runningRequests;
--- /dev/null
+++ b/tests/soak/tests/gatewaygroup.h
@@ -0,0 +1,59 @@
+// Three gateway processes before one store, for tests of single faults.
+#pragma once
+
+#include "gatewayprocess.h"
+#include "soakstore.h"
+
+#include "framework/eventloop/eventloop.h"
+
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnolia::soak
+{
+
+class GatewayGroup
+{
+public:
+    GatewayGroup();
+    ~GatewayGroup();
+    GatewayGroup(const GatewayGroup &) = delete;
+    GatewayGroup &operator=(const GatewayGroup &) = delete;
+
+    /** Publishes a configuration with the idempotent route "/safe/" of host "soak.example" to the service "app". */
+    void publish(int version);
+    /** Runs the loop until `isDone`, for at most `time`; returns whether it was done. */
+    bool runUntil(const std::function<bool()> &isDone, Milliseconds time);
+    void runFor(Milliseconds time);
+    /** Whether all gateways report this configuration version. */
+    [[nodiscard]] bool isInForceEverywhere(int version) const;
+    /** Whether all gateways know this number of upstreams. */
+    [[nodiscard]] bool isUpstreamCountEverywhere(std::size_t count) const;
+    /** Sends a request to one of the gateways in turn; its response is not read. */
+    void sendRequest(const std::string &id);
+    /** Returns a loopback address that no other test process uses. */
+    [[nodiscard]] static std::string loopbackAddress(std::size_t host);
+
+private:
+    void pollStatuses();
+
+    std::filesystem::path m_directory;
+
+public:
+    eventloop::EventLoop loop;
+    SoakStore store;
+
+private:
+    struct Sender;
+
+    std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
+    std::vector<nlohmann::json> m_statuses;
+    std::vector<std::shared_ptr<Sender>> m_senders;
+};
+
+} // namespace magnolia::soak
