--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -25,6 +25,7 @@
     StoreSilent,
     StoreResetting,
     StoreHistoryLost,
+    StoreReturnsOlder,
     StoreLinkSilent,
     StoreLinkOneWay,
     StoreLinkSlow,
@@ -36,6 +37,8 @@
     UpstreamFailing,
     UpstreamRefusing,
     UpstreamHanging,
+    UpstreamTurningAway,
+    UpstreamLimited,
 };
 
 [[nodiscard]] std::string_view toString(Action action);
