--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -98,6 +98,11 @@
     return totalBusyMs / (std::max(durationMs, 1.0) * static_cast<double>(m_workload.engineCount));
 }
 
+const std::vector<MonoTime> &Experiment::placementTimes(std::size_t engine)
+{
+    return m_placedAt[engine + 1];
+}
+
 const PromptClass &Experiment::classOf(std::size_t arrivalIndex) const
 {
     return m_workload.classes[m_arrivals[arrivalIndex].promptClass];
@@ -154,7 +159,8 @@
     newPlacement.placedAt = now;
     newPlacement.isLate = work.isAlreadyLate;
     newPlacement.reservedTokensPerHelper = decision.reservedTokensPerHelper;
-    m_attempts[id] = Attempt{arrivalIndex, instance, now, false, -1, 0};
+    m_attempts[id] = Attempt{arrivalIndex, instance, decision.primary, now, false, -1, 0};
+    m_placedAt[decision.primary].push_back(now);
     m_policy->onPlaced(instance, newPlacement, now);
     enginemodel::ModelJob job;
     job.id = id;
@@ -219,6 +225,9 @@
     if (!attempt.isDecoding) {
         attempt.isDecoding = true;
         attempt.firstEventMs = msSinceArrival(attempt.arrivalIndex, at);
+        // The head of the answer comes with its first event.
+        const double second = toMs(at - MonoTime{}) / 1000;
+        m_policy->onLimit(attempt.instance, attempt.engine, limitAt(m_workload, attempt.engine - 1, second), at);
         m_policy->onFirstEvent(attempt.instance, job, at);
     } else {
         attempt.maxGapMs = std::max(attempt.maxGapMs, toMs(at - attempt.lastProgressAt));
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -56,6 +56,8 @@
     std::vector<Outcome> run();
     /** Share of the time between the first and the last arrival in which engines ran passes; mean over the engines. */
     [[nodiscard]] double busyShare() const;
+    /** Returns the times at which requests were sent to `engine`, in ascending order. */
+    [[nodiscard]] const std::vector<MonoTime> &placementTimes(std::size_t engine);
 
     void onEvent(enginemodel::JobId job, MonoTime at) override;
     void onDone(enginemodel::JobId job, MonoTime at) override;
@@ -66,6 +68,7 @@
     {
         std::size_t arrivalIndex = 0;
         std::size_t instance = 0;
+        placement::UpstreamKey engine = 0;
         MonoTime lastProgressAt{};
         bool isDecoding = false;
         double firstEventMs = -1;
@@ -92,6 +95,7 @@
     enginemodel::EngineFleet m_engines;
     std::vector<Outcome> m_outcomes;
     std::vector<bool> m_refusedArrivals;
+    std::map<placement::UpstreamKey, std::vector<MonoTime>> m_placedAt;
     std::unordered_map<enginemodel::JobId, Attempt> m_attempts;
     enginemodel::JobId m_nextJobId = 1;
     std::optional<MonoTime> m_scheduledWakeUp;
--- a/bench/experiment/ipolicy.h
+++ b/bench/experiment/ipolicy.h
@@ -6,6 +6,7 @@
 #include "placement/types/workestimate.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace magnolia::bench
 {
@@ -21,6 +22,10 @@
         = 0;
     virtual void onPlaced(std::size_t instance, const placement::Placement &placed, MonoTime now) = 0;
     virtual void onFirstEvent(std::size_t instance, placement::PlacementId id, MonoTime now) = 0;
+    /** An answer of the engine to `instance` has named this limit in requests per second, or none. */
+    virtual void onLimit(
+        std::size_t instance, placement::UpstreamKey engine, std::optional<double> requestsPerSecond, MonoTime now)
+        = 0;
     virtual void onEnded(std::size_t instance, placement::PlacementId id, MonoTime now) = 0;
 };
 
--- a/bench/experiment/policies.cpp
+++ b/bench/experiment/policies.cpp
@@ -4,6 +4,7 @@
 #include "fleet/cells.h"
 #include "framework/global/hashing.h"
 #include "framework/global/random.h"
+#include "limits/pressuretable.h"
 #include "placement/chooseengines.h"
 #include "placement/enginecost.h"
 #include "placement/placementtable.h"
@@ -80,6 +81,7 @@
         }
         m_candidates = candidatesOfCells(workload, cellSizes);
         const std::size_t tableCount = hasSharedTable ? 1 : workload.instanceCount;
+        m_pressure.resize(tableCount);
         for (std::size_t i = 0; i < tableCount; ++i) {
             m_tables.push_back(std::make_unique<placement::PlacementTable>([this](const Placement &it) {
                 const double promptMs = placement::prefillMs(m_workload.engine, it.promptTokens);
@@ -91,8 +93,12 @@
     placement::Decision choose(std::size_t instance, const placement::WorkEstimate &work, MonoTime now) override
     {
         const auto loads = tableOf(instance).loads(now);
-        return placement::chooseEngines(
-            m_workload.engine, work, m_candidates[m_cellOfInstance[instance]], loads, m_parameters);
+        std::vector<placement::Candidate> candidates = m_candidates[m_cellOfInstance[instance]];
+        const limits::PressureTable &pressure = m_pressure[m_hasSharedTable ? 0 : instance];
+        std::erase_if(candidates, [&](const placement::Candidate &it) {
+            return pressure.availableAt(it.key, 0, 1, now) > now;
+        });
+        return placement::chooseEngines(m_workload.engine, work, candidates, loads, m_parameters);
     }
 
     void onPlaced(std::size_t instance, const Placement &placed, MonoTime /*now*/) override
@@ -100,6 +106,20 @@
         updateTables(instance, [this, placed](placement::PlacementTable &table) {
             table.put({}, placed, m_schedule.now());
         });
+        updatePressure(instance, [this, placed](limits::PressureTable &table) {
+            table.recordRequest(placed.primary, 1, m_schedule.now());
+        });
+    }
+
+    void onLimit(
+        std::size_t instance, UpstreamKey engine, std::optional<double> requestsPerSecond, MonoTime /*now*/) override
+    {
+        if (m_pressure[m_hasSharedTable ? 0 : instance].limit(engine, 0) == requestsPerSecond) {
+            return;
+        }
+        updatePressure(instance, [this, engine, requestsPerSecond](limits::PressureTable &table) {
+            table.setLimit(engine, 0, requestsPerSecond, m_schedule.now());
+        });
     }
 
     void onFirstEvent(std::size_t instance, placement::PlacementId id, MonoTime /*now*/) override
@@ -135,6 +155,19 @@
         }
     }
 
+    /** Applies `change` as updateTables() does, to what the engines say of themselves. */
+    void updatePressure(std::size_t instance, const std::function<void(limits::PressureTable &)> &change)
+    {
+        change(m_pressure[m_hasSharedTable ? 0 : instance]);
+        for (std::size_t i = 0; i < m_pressure.size() && !m_hasSharedTable; ++i) {
+            if (i != instance && m_cellOfInstance[i] == m_cellOfInstance[instance]) {
+                m_schedule.after(m_workload.peerMessageDelay, [this, i, change] {
+                    change(m_pressure[i]);
+                });
+            }
+        }
+    }
+
     const Workload &m_workload;
     testing::Schedule &m_schedule;
     // By cell.
@@ -143,6 +176,7 @@
     placement::ChoiceParameters m_parameters;
     bool m_hasSharedTable;
     std::vector<std::unique_ptr<placement::PlacementTable>> m_tables;
+    std::vector<limits::PressureTable> m_pressure;
 };
 
 /** Base of the simple policies: counts the requests of all instances at each engine, without delay. */
@@ -166,6 +200,11 @@
     {
     }
 
+    void onLimit(std::size_t /*instance*/, UpstreamKey /*engine*/, std::optional<double> /*requestsPerSecond*/,
+        MonoTime /*now*/) override
+    {
+    }
+
     void onEnded(std::size_t /*instance*/, placement::PlacementId id, MonoTime /*now*/) override
     {
         if (const auto node = m_placed.extract(id)) {
--- a/bench/experiment/tests/experimenttests.cpp
+++ b/bench/experiment/tests/experimenttests.cpp
@@ -180,3 +180,35 @@
         previous = worth;
     }
 }
+
+TEST_CASE("the limits of engines in need are kept by all instances, and callers lose little by it")
+{
+    Workload workload = readWorkloadFile("mixed");
+    constexpr double runSeconds = 30;
+    const auto arrivals = makeArrivals(workload, runSeconds, 4);
+    const auto play = [&](const std::string &policy, bool isWithinLimits) {
+        auto experiment = Experiment::make(workload, policy, arrivals, 4);
+        REQUIRE(experiment);
+        const auto outcomes = (*experiment)->run();
+        bool isKept = true;
+        for (const EngineLimit &limit : workload.limits) {
+            const auto &times = (*experiment)->placementTimes(limit.engine);
+            const MonoTime from(Milliseconds(static_cast<std::int64_t>((limit.startSecond + 3) * 1000)));
+            constexpr Milliseconds window{4000};
+            const double allowed = 1.5 * limit.requestsPerSecond * 4 + 5;
+            for (auto it = times.begin(); it != times.end(); ++it) {
+                const auto end = std::find_if(it, times.end(), [&](MonoTime at) {
+                    return at - *it >= window;
+                });
+                isKept = isKept && (*it < from || static_cast<double>(end - it) <= allowed);
+            }
+        }
+        CHECK(isKept == isWithinLimits);
+        return summarise(workload, outcomes, 0).worth;
+    };
+    const double unlimitedWorth = play("choice", true);
+    // Engines from the start, the middle and the end of the order in which the instances fill them.
+    workload.limits = {{0, 5, 25, 1.4}, {6, 5, 25, 1.0}, {13, 5, 25, 0.5}};
+    CHECK(play("choice", true) > unlimitedWorth - 0.1);
+    play("round-robin", false);
+}
--- a/bench/experiment/workload.cpp
+++ b/bench/experiment/workload.cpp
@@ -203,12 +203,26 @@
         }
         workload.peaks.push_back(std::move(peak));
     }
+    for (const JsonReader &it : reader.objectList("limits")) {
+        workload.limits.push_back({static_cast<std::size_t>(it.numberField("engine", 0)),
+            it.numberField("fromSecond", 0), it.numberField("forSeconds", 1), it.numberField("perSecond", 1)});
+    }
     if (!error.empty()) {
         return makeError(ResultCode::SettingsInvalid, error);
     }
     return workload;
 }
 
+std::optional<double> limitAt(const Workload &workload, std::size_t engine, double second)
+{
+    for (const EngineLimit &it : workload.limits) {
+        if (it.engine == engine && second >= it.startSecond && second < it.startSecond + it.durationSeconds) {
+            return it.requestsPerSecond;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<Arrival> makeArrivals(const Workload &workload, double seconds, std::uint64_t seed)
 {
     std::vector<Arrival> arrivals;
--- a/bench/experiment/workload.h
+++ b/bench/experiment/workload.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,15 @@
     std::map<std::string, double> rateFactors;
 };
 
+/** A time in which an engine takes only some requests per second of all instances together, and names this limit. */
+struct EngineLimit
+{
+    std::size_t engine = 0;
+    double startSecond = 0;
+    double durationSeconds = 1;
+    double requestsPerSecond = 1;
+};
+
 struct Workload
 {
     std::string name;
@@ -61,8 +71,12 @@
     /** The peaks repeat with this period; 0 for no repetition. */
     double peakPeriodSeconds = 0;
     std::vector<Peak> peaks;
+    std::vector<EngineLimit> limits;
 };
 
+/** Returns the limit that `engine` names `second` seconds after the start. */
+[[nodiscard]] std::optional<double> limitAt(const Workload &workload, std::size_t engine, double second);
+
 struct Arrival
 {
     std::uint64_t id = 0;
