Published: confirmations of the store are not passed on from peer to peer

Found by reading, before it was seen: an announced confirmation was stated again in the receiver's own probes, and its age lost the delay of each message. Passed on four times a second it would have stayed young without any call to the store, and with long delays no check would have been due. Only own calls count in what an instance states now; the next check is still delayed by what peers state.

A silence counts as an outage after 2.5 s instead of 1.5 s: one lost announcement at 295 instances makes a gap of 1.4 s, and a false outage costs 295 watches.

--- a/src/fleet/ifleetdelegate.h
+++ b/src/fleet/ifleetdelegate.h
@@ -26,7 +26,7 @@
     bool isComplete = false;
     /** Time of the last answer of the store. */
     MonoTime storeAnsweredAt{};
-    /** Latest time at which this instance knew all that the store had, by its own calls or those of peers. */
+    /** Latest time at which a call of this instance showed that it knew all that the store had. */
     MonoTime storeConfirmedAt{};
 };
 
--- a/src/fleet/types/probemessage.h
+++ b/src/fleet/types/probemessage.h
@@ -44,7 +44,10 @@
     bool isAnswer = false;
     std::uint64_t configurationVersion = 0;
     published::StorePosition storePosition;
-    /** Time since the sender knew that the store has nothing after `storePosition`; `unconfirmed` if it never did. */
+    /**
+     * Time since a call of the sender showed that the store has nothing after `storePosition`; `unconfirmed` if none
+     * did.
+     */
     std::uint32_t storeAgeMs = unconfirmed;
     std::vector<Suspicion> suspicions;
 
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -43,7 +43,7 @@
 
 MonoTime StoreReader::confirmedAt() const
 {
-    return m_checks.confirmedAt();
+    return m_confirmedAt;
 }
 
 std::uint64_t StoreReader::callCount() const
@@ -83,7 +83,8 @@
     m_readItems.clear();
     m_watchPosition = m_firstPagePosition;
     m_isWatching = true;
-    confirm(m_loop.now());
+    m_confirmedAt = m_loop.now();
+    confirm(m_confirmedAt);
     watch();
 }
 
@@ -110,7 +111,8 @@
     }
     m_watchPosition = std::max(m_watchPosition, changes.position);
     m_callbacks.onChange(flags);
-    confirm(m_loop.now());
+    m_confirmedAt = m_loop.now();
+    confirm(m_confirmedAt);
     return true;
 }
 
--- a/src/published/storecheckschedule.h
+++ b/src/published/storecheckschedule.h
@@ -23,8 +23,11 @@
     Milliseconds minSpread{300};
     /** Minimum wait after a failed check. */
     Milliseconds retryDelay{150};
-    /** Time without a confirmation after which answers of the store may have been lost on all instances. */
-    Milliseconds silenceLimit{1500};
+    /**
+     * Time without a confirmation after which answers of the store may have been lost on all instances: several checks,
+     * and less than the time in which leases expire.
+     */
+    Milliseconds silenceLimit{2500};
 };
 
 class StoreCheckSchedule
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -63,7 +63,11 @@
     [[nodiscard]] bool isConnected() const;
     /** Returns the time of the last successful call. */
     [[nodiscard]] MonoTime lastAnswerAt() const;
-    /** Returns the latest time at which this instance knew all that the store had. */
+    /**
+     * Returns the latest time at which a call of this instance showed that it knew all that the store had. What peers
+     * have announced does not count: passed on from one to the next, it would become younger by the delay of each
+     * message.
+     */
     [[nodiscard]] MonoTime confirmedAt() const;
     /** Returns the number of calls made so far. */
     [[nodiscard]] std::uint64_t callCount() const;
@@ -109,6 +113,7 @@
     std::uint64_t m_callCount = 0;
     Milliseconds m_retryDelay{0};
     StoreCheckSchedule m_checks;
+    MonoTime m_confirmedAt{};
     // Number of the latest watch; a renewal that was planned for an earlier one is void.
     std::uint64_t m_watchNumber = 0;
     bool m_isWatchOpen = false;
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -252,3 +252,23 @@
     CHECK(store.readCount == 2);
     CHECK(state.position().era == 5);
 }
+
+TEST_CASE("a confirmation of a peer delays the next check and is not passed on")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
+    reader.start();
+    const MonoTime confirmedAt = reader.confirmedAt();
+    reader.onPeerConfirmation({0, 1}, loop.now() + Milliseconds(3'600'000));
+    runUntil(
+        loop,
+        [] {
+            return false;
+        },
+        Milliseconds(30));
+    CHECK(store.checkCount == 0);
+    CHECK(reader.confirmedAt() == confirmedAt);
+}
