Gateway: the pace of store checks follows from the deployment's settings

The times of the checks were constants that fit a ConfigApplyMs of 2 s and heartbeats of 1.2 s. With a shorter bound a lost watch would be found too late, with longer heartbeats an entry that an older copy of the store has again would be used before its lease could expire. Test: for bounds of 1 to 4 s and heartbeats of 0.5 to 5 s the times fit into each other.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/internal/controlhandler.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/gatewaystatus.h"
+#include "gateway/internal/storeparameters.h"
 #include "gateway/internal/upstreamsignals.h"
 #include "gateway/listener.h"
 #include "published/storereader.h"
@@ -60,7 +61,7 @@
         , settings(std::move(theSettings))
         , dependencies(std::move(theDependencies))
         , context(theLoop, settings, seed)
-        , publishedState(dependencies.decoder)
+        , publishedState(dependencies.decoder, publishedStateParameters(settings))
         , storeReader(theLoop, dependencies.store, publishedState, seed ^ 1U,
               {[this](const auto &changes) {
                    onPublishedStateChanged(changes);
@@ -70,7 +71,8 @@
                   },
                   [this] {
                       return context.fleet->table().liveInstanceCount(loop.now());
-                  }})
+                  }},
+              storeReaderParameters(settings))
         , callerHandler(context)
         , controlHandler([this](std::string_view path) {
             return respond(path);
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -34,6 +34,10 @@
     /** Retries that all instances may make per service and window: this share of its requests, plus the slack. */
     double retryRatio = 0.2;
     double retrySlack = 100;
+    /** Time in which a published configuration has to be in force. */
+    Milliseconds configurationApplyTime{2000};
+    /** Time between two heartbeats of an upstream to the store. */
+    Milliseconds upstreamHeartbeatInterval{1200};
     /** Maximum number of open connections from callers. */
     std::size_t maxConnections = 2000;
     /** Maximum time for which one order may reserve memory at an engine. */
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -30,7 +30,7 @@
     Milliseconds leaseGrace{2000};
     /**
      * Time for which a removed run of an upstream that an older copy of the store has again is not used. The lease of
-     * one that is gone expires meanwhile, after three heartbeats of at most 1.5 s.
+     * one that is gone expires meanwhile.
      */
     Milliseconds restoredEntryDelay{5000};
 };
--- a/src/published/storecheckschedule.h
+++ b/src/published/storecheckschedule.h
@@ -16,7 +16,7 @@
 
 struct StoreCheckParameters
 {
-    /** Time after the last confirmation before which nobody checks; a third of the shortest time for a change. */
+    /** Time after the last confirmation before which nobody checks. */
     Milliseconds interval{700};
     /** The check is delayed by up to this time for each instance, in which the announcement of another arrives. */
     Milliseconds spreadPerInstance{20};
