--- a/src/gateway/internal/gatewaystatus.cpp
+++ b/src/gateway/internal/gatewaystatus.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/gatewaystatus.h"
 
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/upstreamsignals.h"
 #include "published/publishedstate.h"
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,26 @@
     return rows;
 }
 
+std::string_view stateOf(const GatewayContext &context, const published::PublishedState::UpstreamRecord &held,
+    placement::UpstreamKey upstream)
+{
+    const MonoTime now = context.loop.now();
+    const KnownUpstream *known = context.upstreams.find(upstream);
+    if (held.entry.isLeaving || (known != nullptr && known->entry.isLeaving)) {
+        return "leaving";
+    }
+    if (held.removeAt) {
+        return "missing";
+    }
+    if (context.outliers.isExcluded(upstream, now)) {
+        return "left out";
+    }
+    if (known != nullptr && upstreamAvailableAt(context, *known) > now) {
+        return "paused";
+    }
+    return context.outliers.isOnTrial(upstream, now) ? "on trial" : "live";
+}
+
 Json upstreamsJson(GatewayContext &context, const published::PublishedState &publishedState)
 {
     const MonoTime now = context.loop.now();
@@ -42,18 +63,15 @@
         const auto found = loads.find(upstream);
         const placement::PlacementLoad load = found == loads.end() ? placement::PlacementLoad() : found->second;
         rows.push_back({{"id", held.entry.id.value()}, {"service", held.entry.service},
-            {"data_centre", held.entry.dataCentre.value()},
-            {"state",
-                held.entry.isLeaving                             ? "leaving"
-                    : held.removeAt                              ? "missing"
-                    : context.outliers.isExcluded(upstream, now) ? "left out"
-                    : context.outliers.isOnTrial(upstream, now)  ? "on trial"
-                                                                 : "live"},
+            {"data_centre", held.entry.dataCentre.value()}, {"state", stateOf(context, held, upstream)},
             {"requests", load.requests}, {"writers", load.decodingRequests.size()}, {"helping", load.helperPrefills},
             {"backlog_ms", static_cast<std::int64_t>(load.backlogMs)},
             {"memory_tokens", static_cast<std::int64_t>(load.usedKvTokens)},
             {"failure_share", context.outliers.failureShare(upstream, now)},
             {"pace", context.outliers.slowdown(upstream)}});
+        // Null without a limit.
+        const auto limit = context.pressure.limit(upstream, held.entry.startedAt);
+        rows.back()["limit_per_second"] = limit ? Json(*limit) : Json();
     }
     return rows;
 }
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -43,9 +43,8 @@
 
 PublishedState::ChangeFlags PublishedState::applyConfiguration(const StoreItem &item)
 {
-    const bool isKnown = m_configurationItem && item.position() <= m_configurationItem->position()
-        && item.era == m_configurationItem->era;
-    if (isKnown) {
+    if (m_configurationItem && item.era == m_configurationItem->era
+        && item.revision <= m_configurationItem->revision) {
         return {};
     }
     // Versions order configurations across eras: an older copy of the store may have a lower one.
--- a/tests/soak/tests/gatewaygroup.cpp
+++ b/tests/soak/tests/gatewaygroup.cpp
@@ -116,6 +116,14 @@
     });
 }
 
+bool GatewayGroup::isUpstreamFieldEverywhere(const std::string &name, const Json &value) const
+{
+    return std::all_of(m_statuses.begin(), m_statuses.end(), [&](const Json &it) {
+        const bool hasUpstream = it.is_object() && it.contains("upstreams") && !it["upstreams"].empty();
+        return hasUpstream && it["upstreams"].front().value(name, Json()) == value;
+    });
+}
+
 void GatewayGroup::sendRequest(const std::string &id)
 {
     const auto sender = std::make_shared<Sender>();
--- a/tests/soak/tests/gatewaygroup.h
+++ b/tests/soak/tests/gatewaygroup.h
@@ -34,6 +34,8 @@
     [[nodiscard]] bool isInForceEverywhere(int version) const;
     /** Whether all gateways know this number of upstreams. */
     [[nodiscard]] bool isUpstreamCountEverywhere(std::size_t count) const;
+    /** Whether all gateways report this value in field `name` of their first upstream. */
+    [[nodiscard]] bool isUpstreamFieldEverywhere(const std::string &name, const nlohmann::json &value) const;
     /** Sends a request to one of the gateways in turn; its response is not read. */
     void sendRequest(const std::string &id);
     /** Returns a loopback address that no other test process uses. */
--- a/tests/soak/tests/limittests.cpp
+++ b/tests/soak/tests/limittests.cpp
@@ -35,6 +35,7 @@
         group.runFor(requestInterval);
     }
     CHECK(ledger.violations().empty());
+    CHECK(group.isUpstreamFieldEverywhere("limit_per_second", 2.0));
     const std::size_t arrivals = ledger.records().size();
     CHECK(arrivals >= 10);
     // Without a limit most requests arrive again.
