--- a/src/fleet/failuredetector.h
+++ b/src/fleet/failuredetector.h
@@ -2,9 +2,9 @@
 // process group membership protocol", DSN 2002). It does no I/O: messages, time and random numbers are passed in.
 //
 // The heartbeats of hundreds of instances are seconds apart, so silence alone would leave dead instances in directory
-// answers for many seconds. Each instance probes one random peer at a time. Who does not answer twice is suspected, and
-// the suspicion spreads with the probes of all instances. The cost of an instance does not depend on the size of the
-// fleet.
+// answers for many seconds. Each instance pings one random peer at a time. A peer that acknowledges neither of two
+// pings is suspected, and the suspicion spreads with the probes of all instances. The cost of an instance does not
+// depend on the size of the fleet.
 #pragma once
 
 #include "fleet/peertable.h"
@@ -22,14 +22,14 @@
 
 struct FailureDetectorParameters
 {
-    /** Time between two calls of tick(), each of which asks a peer. */
+    /** Time between two calls of tick(), each of which pings a peer. */
     Milliseconds probeInterval{250};
-    /** Upper bound of the peers that are asked at a time after others have not answered. */
-    std::size_t maxQuestionsPerTick = 5;
-    /** Time for an answer: a round trip of a few milliseconds and the pauses of an instance with an eighth of a core.
+    /** Upper bound of the pings at a time, after others were not acknowledged. */
+    std::size_t maxPingsPerTick = 5;
+    /** Time for an ack: a round trip of a few milliseconds and the pauses of an instance with an eighth of a core.
      */
-    Milliseconds answerTimeout{240};
-    /** Questions without an answer after which a peer is suspected; single lost datagrams are tolerated. */
+    Milliseconds ackTimeout{240};
+    /** Pings without an ack after which a peer is suspected; single lost datagrams are tolerated. */
     int maxTries = 2;
     /** Time for which a suspicion is passed on, several times the time in which it reaches all instances. */
     Milliseconds spreadTime{3000};
@@ -51,22 +51,22 @@
         ProbeMessage message;
     };
 
-    /** Returns the questions to send now; to be called once per `probeInterval`. */
+    /** Returns the pings to send now; to be called once per `probeInterval`. */
     [[nodiscard]] std::vector<Outgoing> tick(const PeerTable &table, MonoTime now, Random &random);
-    /** Records a question or an answer in `table`; returns the answer to a question. */
+    /** Records a ping or an ack in `table`; returns the ack of a ping. */
     [[nodiscard]] std::optional<Outgoing> onMessage(
         const ProbeMessage &message, PeerTable &table, MonoTime now, Random &random);
     /** Sets the version of the published state that the messages of this instance state. */
     void setPublishedState(
         std::uint64_t configurationVersion, const published::StorePosition &storePosition, MonoTime storeConfirmedAt);
-    /** Returns a message that needs no answer, for peers that should learn of a new published state at once. */
-    [[nodiscard]] ProbeMessage makeNotice(MonoTime now, Random &random) const;
+    /** Returns a message that is not acknowledged, for peers that should learn of a new published state at once. */
+    [[nodiscard]] ProbeMessage makeAnnouncement(MonoTime now, Random &random) const;
     /** Whether a peer has spread a suspicion against this instance since the last call. */
     [[nodiscard]] bool takeIsSuspected();
     [[nodiscard]] Milliseconds probeInterval() const;
 
 private:
-    struct OpenQuestion
+    struct PendingPing
     {
         std::string instance;
         std::uint64_t incarnation = 0;
@@ -88,8 +88,8 @@
     std::uint64_t m_incarnation;
     PeerAddress m_ownAddress;
     FailureDetectorParameters m_parameters;
-    std::vector<OpenQuestion> m_openQuestions;
-    // Failures since the last answer of any peer. They become suspicions with the next answer, which shows that this
+    std::vector<PendingPing> m_pendingPings;
+    // Failures since the last ack of any peer. They become suspicions with the next ack, which shows that this
     // instance is not cut off itself.
     std::vector<KnownFailure> m_unconfirmed;
     // Suspicions that are passed on.
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -52,8 +52,8 @@
     /** Sends a full-state message to all targets at once, for a change of readiness or leaving. */
     void sendFullState();
     /**
-     * Tells a few random peers that this instance has a newer published state. Who is behind fetches it and tells
-     * others in turn; told to all by all, each change would cost as many messages as there are pairs of instances.
+     * Tells a few random peers that this instance has a newer published state. A peer that is behind fetches it and
+     * tells others in turn. Messages from each instance to all others would grow with the square of the fleet.
      */
     void announcePublishedState();
     /** Tells all live peers that this instance has checked the store, so that they need not. */
--- a/src/fleet/internal/failuredetector.cpp
+++ b/src/fleet/internal/failuredetector.cpp
@@ -22,26 +22,26 @@
         return now - it.failedAt > m_parameters.spreadTime;
     });
     std::vector<Outgoing> outgoing;
-    const auto ask = [&](OpenQuestion &question) {
-        question.sentAt = now;
-        ++question.tries;
-        outgoing.push_back({question.address, makeMessage(now, random)});
+    const auto sendPing = [&](PendingPing &ping) {
+        ping.sentAt = now;
+        ++ping.tries;
+        outgoing.push_back({ping.address, makeMessage(now, random)});
     };
-    // Where one peer is dead, others may be as well, so each missing answer leads to a further question.
-    std::size_t newQuestions = 1;
-    for (OpenQuestion &it : m_openQuestions) {
-        if (now - it.sentAt < m_parameters.answerTimeout) {
+    // Where one peer is dead, others may be as well, so each missing ack leads to a further ping.
+    std::size_t newPings = 1;
+    for (PendingPing &it : m_pendingPings) {
+        if (now - it.sentAt < m_parameters.ackTimeout) {
             continue;
         }
-        newQuestions = std::min(newQuestions + 1, m_parameters.maxQuestionsPerTick);
+        newPings = std::min(newPings + 1, m_parameters.maxPingsPerTick);
         if (it.tries < m_parameters.maxTries) {
-            ask(it);
+            sendPing(it);
         } else {
             m_unconfirmed.push_back({it.instance, it.incarnation, now});
         }
     }
-    std::erase_if(m_openQuestions, [&](const OpenQuestion &it) {
-        return now - it.sentAt >= m_parameters.answerTimeout;
+    std::erase_if(m_pendingPings, [&](const PendingPing &it) {
+        return now - it.sentAt >= m_parameters.ackTimeout;
     });
     if (m_unconfirmed.size() > m_parameters.maxFailuresInSequence) {
         m_unconfirmed.clear();
@@ -49,19 +49,19 @@
     std::vector<const Peer *> live;
     for (const auto &entry : table.peers()) {
         const Peer &peer = entry.second;
-        const bool isAsked = std::any_of(m_openQuestions.begin(), m_openQuestions.end(), [&](const OpenQuestion &it) {
+        const bool isPinged = std::any_of(m_pendingPings.begin(), m_pendingPings.end(), [&](const PendingPing &it) {
             return it.instance == peer.instance;
         });
-        if (!isAsked && !table.isSilent(peer, now)) {
+        if (!isPinged && !table.isSilent(peer, now)) {
             live.push_back(&peer);
         }
     }
-    for (std::size_t i = 0; i < newQuestions && !live.empty(); ++i) {
+    for (std::size_t i = 0; i < newPings && !live.empty(); ++i) {
         const std::size_t n = random.below(live.size());
         const Peer &chosen = *live[n];
         live.erase(live.begin() + static_cast<std::ptrdiff_t>(n));
-        m_openQuestions.push_back({chosen.instance, chosen.incarnation, chosen.address, {}, 0});
-        ask(m_openQuestions.back());
+        m_pendingPings.push_back({chosen.instance, chosen.incarnation, chosen.address, {}, 0});
+        sendPing(m_pendingPings.back());
     }
     return outgoing;
 }
@@ -79,19 +79,19 @@
             suspect({it.instance, it.incarnation, now - Milliseconds(it.ageMs)}, table);
         }
     }
-    if (!message.isAnswer) {
-        Outgoing answer{message.address, makeMessage(now, random)};
-        answer.message.isAnswer = true;
+    if (!message.isAck) {
+        Outgoing ack{message.address, makeMessage(now, random)};
+        ack.message.isAck = true;
         if (wasSuspected) {
             // Lets the sender refute the suspicion where it is no longer passed on.
-            answer.message.suspicions.push_back({message.instance, message.incarnation, 0});
+            ack.message.suspicions.push_back({message.instance, message.incarnation, 0});
         }
-        return answer;
+        return ack;
     }
-    const std::size_t answered = std::erase_if(m_openQuestions, [&](const OpenQuestion &it) {
+    const std::size_t acknowledged = std::erase_if(m_pendingPings, [&](const PendingPing &it) {
         return it.instance == message.instance && it.incarnation == message.incarnation;
     });
-    if (answered > 0) {
+    if (acknowledged > 0) {
         for (const KnownFailure &it : std::exchange(m_unconfirmed, {})) {
             suspect(it, table);
         }
@@ -114,10 +114,10 @@
     m_storeConfirmedAt = storeConfirmedAt;
 }
 
-ProbeMessage FailureDetector::makeNotice(MonoTime now, Random &random) const
+ProbeMessage FailureDetector::makeAnnouncement(MonoTime now, Random &random) const
 {
     ProbeMessage message = makeMessage(now, random);
-    message.isAnswer = true;
+    message.isAck = true;
     return message;
 }
 
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -383,7 +383,7 @@
             live.push_back(&peer);
         }
     }
-    const std::string bytes = peerlink::encode(m_detector.makeNotice(m_loop.now(), m_random));
+    const std::string bytes = peerlink::encode(m_detector.makeAnnouncement(m_loop.now(), m_random));
     for (std::size_t i = 0; i < peersToldOfChange && !live.empty(); ++i) {
         const std::size_t n = m_random.below(live.size());
         sendTo(live[n]->address, bytes);
@@ -396,7 +396,7 @@
 {
     const OwnState own = m_delegate.ownState();
     m_detector.setPublishedState(own.configurationVersion, own.storePosition, own.storeConfirmedAt);
-    sendToAllLivePeers(peerlink::encode(m_detector.makeNotice(m_loop.now(), m_random)));
+    sendToAllLivePeers(peerlink::encode(m_detector.makeAnnouncement(m_loop.now(), m_random)));
 }
 
 void FleetLink::sendToAllLivePeers(const std::string &bytes)
@@ -463,8 +463,8 @@
         logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
         return;
     }
-    if (const auto answer = m_detector.onMessage(*message, m_table, m_loop.now(), m_random)) {
-        sendTo(answer->address, peerlink::encode(answer->message));
+    if (const auto ack = m_detector.onMessage(*message, m_table, m_loop.now(), m_random)) {
+        sendTo(ack->address, peerlink::encode(ack->message));
     }
     if (m_detector.takeIsSuspected() && m_loop.now() - m_refutedAt > minRefutationInterval) {
         m_refutedAt = m_loop.now();
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -42,7 +42,7 @@
     std::uint64_t configurationVersion = 0;
     published::StorePosition storePosition;
     MonoTime lastHeardAt{};
-    /** Whether the peer did not answer a probe since it was last heard. */
+    /** Whether the peer has acknowledged no ping since it was last heard. */
     bool isSuspected = false;
 };
 
@@ -63,7 +63,7 @@
     /** Records the state of the peer that sent the message. */
     UpdateResult update(const PeerMessage &message, MonoTime now);
 
-    /** Records a probe or an answer of this run of a peer, and what it has of the published state. */
+    /** Records a ping or an ack of this run of a peer, and what it has of the published state. */
     void recordProbe(const ProbeMessage &message, MonoTime now);
     /** Marks this run of a peer as silent unless it was heard after `failedAt`; returns whether that is new. */
     bool suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt);
--- a/src/fleet/tests/failuredetectortests.cpp
+++ b/src/fleet/tests/failuredetectortests.cpp
@@ -59,7 +59,8 @@
     {
         return pairCount(true, false);
     }
-    /** Number of pairs of a reachable and an unreachable instance of which the first still names the second. */
+    /** Number of pairs of a reachable and an unreachable instance where the first still returns the address of the
+     * second. */
     [[nodiscard]] std::size_t stalePairCount() const
     {
         return pairCount(false, true);
@@ -81,7 +82,7 @@
         constexpr std::size_t announcedTo = 8;
         for (std::size_t i = 0; i < announcedTo; ++i) {
             const std::size_t other = m_schedule.random().below(m_nodes.size());
-            send(it, {addressOf(other), it.detector.makeNotice(m_schedule.now(), m_schedule.random())});
+            send(it, {addressOf(other), it.detector.makeAnnouncement(m_schedule.now(), m_schedule.random())});
         }
     }
     [[nodiscard]] std::size_t countWithConfiguration(std::uint64_t version) const
@@ -154,8 +155,8 @@
             if (!from.isReachable || !to.isReachable) {
                 return;
             }
-            if (const auto answer = to.detector.onMessage(message, to.table, m_schedule.now(), m_schedule.random())) {
-                send(to, *answer);
+            if (const auto ack = to.detector.onMessage(message, to.table, m_schedule.now(), m_schedule.random())) {
+                send(to, *ack);
             }
             if (to.detector.takeIsSuspected()) {
                 sendFullState(to);
@@ -285,7 +286,7 @@
     const std::size_t few = bytesPerInstance(30);
     const std::size_t many = bytesPerInstance(300);
     CHECK(many <= few * 11 / 10);
-    // 10 s at 4 questions and 4 answers a second.
+    // 10 s at 4 pings and 4 acks a second.
     CHECK(many <= 10'000);
 }
 
--- a/src/fleet/tests/fleetlinktests.cpp
+++ b/src/fleet/tests/fleetlinktests.cpp
@@ -125,7 +125,7 @@
 
 TEST_CASE("a new published state is announced to a few peers, however many there are")
 {
-    // Told to all by all, a change at 295 instances cost 87,000 messages.
+    // With a message from each instance to each other one, a change at 295 instances cost 87,000 messages.
     eventloop::EventLoop loop;
     FakeDelegate delegate;
     FleetLinkSettings settings;
@@ -159,8 +159,8 @@
     }
     runFor(Milliseconds(50));
     REQUIRE(link->table().peers().size() == peerCount);
-    /** Counts the notices received, and drops all datagrams that wait. */
-    const auto noticeCount = [&sockets] {
+    /** Counts the announcements received, and drops all datagrams that wait. */
+    const auto announcementCount = [&sockets] {
         std::size_t count = 0;
         for (Poco::Net::DatagramSocket &it : sockets) {
             std::array<char, 65536> buf{};
@@ -169,7 +169,7 @@
                      n = it.receiveBytes(buf.data(), buf.size())) {
                     const auto probe
                         = peerlink::decode<ProbeMessage>(std::string_view(buf.data(), static_cast<std::size_t>(n)));
-                    count += probe && probe->isAnswer && probe->storePosition.revision == 1 ? 1 : 0;
+                    count += probe && probe->isAck && probe->storePosition.revision == 1 ? 1 : 0;
                 }
             } catch (const Poco::Exception &) {
                 continue;
@@ -177,9 +177,9 @@
         }
         return count;
     };
-    CHECK(noticeCount() == 0);
+    CHECK(announcementCount() == 0);
     link->announcePublishedState();
     runFor(Milliseconds(20));
-    CHECK(noticeCount() == 8);
+    CHECK(announcementCount() == 8);
     link->stop();
 }
--- a/src/fleet/types/probemessage.h
+++ b/src/fleet/types/probemessage.h
@@ -1,4 +1,4 @@
-// The datagram by which instances check each other: a question, its answer or a notice, with the version of the
+// The datagram by which instances check each other: a ping, its ack or an announcement, with the version of the
 // published state that the sender has and with what it knows of dead peers.
 #pragma once
 
@@ -14,12 +14,12 @@
 namespace magnolia::fleet
 {
 
-/** States that a run of an instance has not answered. */
+/** States that a run of an instance has not acknowledged its pings. */
 struct Suspicion
 {
     std::string instance;
     std::uint64_t incarnation = 0;
-    /** Time since the instance failed to answer. An age is sent because the clocks of instances are not synchronised.
+    /** Time since the last of these pings. An age is sent because the clocks of instances are not synchronised.
      */
     std::uint32_t ageMs = 0;
 
@@ -38,10 +38,10 @@
     std::uint8_t format = currentFormat;
     std::string instance;
     std::uint64_t incarnation = 0;
-    /** Address to which a question is answered. */
+    /** Address to which a ping is acknowledged. */
     PeerAddress address;
-    /** A question is answered; answers and notices are not. */
-    bool isAnswer = false;
+    /** Set in acks and announcements, which are not acknowledged. */
+    bool isAck = false;
     std::uint64_t configurationVersion = 0;
     published::StorePosition storePosition;
     /**
@@ -56,8 +56,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, instance, incarnation, address, isAnswer, configurationVersion, storePosition, storeAgeMs,
-            suspicions);
+        archive(
+            format, instance, incarnation, address, isAck, configurationVersion, storePosition, storeAgeMs, suspicions);
     }
 };
 
