--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -43,8 +43,7 @@
 
 PublishedState::ChangeFlags PublishedState::applyConfiguration(const StoreItem &item)
 {
-    if (m_configurationItem && item.era == m_configurationItem->era
-        && item.revision <= m_configurationItem->revision) {
+    if (m_configurationItem && item.era == m_configurationItem->era && item.revision <= m_configurationItem->revision) {
         return {};
     }
     // Versions order configurations across eras: an older copy of the store may have a lower one.
