Published: an outdated item of a peer does not cancel a pending removal

Cause: a removal within the lease grace is only planned, and the record keeps its item. The upstream then stayed for good, as no further event names it.

Why this works: the position of the removal is kept with the plan, and items at or below it are outdated. An entry that is written again after its removal has a higher position and is back.

--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -74,7 +74,10 @@
         return {};
     }
     const auto known = m_upstreams.find(item.key);
-    if (known != m_upstreams.end() && item.position() < known->second.item.position()) {
+    const bool isOutdated = known != m_upstreams.end()
+        && (item.position() < known->second.item.position()
+            || (known->second.removeAt && item.position() <= known->second.missingAt));
+    if (isOutdated) {
         return {};
     }
     auto entry = m_decoder.decodeUpstream(item);
--- a/src/published/tests/publishedstatetests.cpp
+++ b/src/published/tests/publishedstatetests.cpp
@@ -217,3 +217,21 @@
     state.applyAll({{"u", "ready 7", 40, false, 2}}, {2, 50}, start);
     CHECK(state.upstreams().at("u").entry.isLeaving);
 }
+
+TEST_CASE("an outdated item of a peer does not cancel a removal that waits for the end of the lease grace")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"u", "ready", 1, false}, {"v", "ready", 2, false}}, {0, 2}, start);
+    state.onStoreReconnected(start);
+    state.apply({"u", "", 5, true}, start);
+    state.apply({"v", "", 6, true}, start);
+    // The snapshot of a peer that has not heard of the removals yet.
+    state.apply({"u", "ready", 1, false}, start + Milliseconds(10));
+    state.apply({"v", "ready", 2, false}, start + Milliseconds(10));
+    // An entry that is written again after its removal is back.
+    state.apply({"v", "ready", 7, false}, start + Milliseconds(500));
+    CHECK(state.removeExpired(start + Milliseconds(2100)).hasChangedUpstreams);
+    CHECK_FALSE(state.upstreams().contains("u"));
+    CHECK(state.upstreams().contains("v"));
+}
