--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -51,6 +51,8 @@
     [[nodiscard]] placement::Decision choosePlacement(
         const std::string &service, std::vector<placement::UpstreamKey> &usable);
     [[nodiscard]] std::vector<std::string> helperIds(const placement::Decision &decision) const;
+    /** Ids of the parts of the prompt that other requests may share. */
+    [[nodiscard]] std::vector<std::string> sharedParts() const;
     void place();
     void startAttempt(const placement::Decision &decision);
     void recordReportedLoad();
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -5,6 +5,7 @@
 #include "gateway/internal/exchangelimits.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/memoryreservation.h"
+#include "gateway/internal/promptparts.h"
 #include "gateway/internal/reachabilityprobe.h"
 #include "gateway/internal/retryafter.h"
 #include "gateway/internal/upstreamcall.h"
@@ -42,7 +43,8 @@
     logging::write(logging::Level::Info, "gateway", "attempt_failed",
         {{"request", std::string_view(m_requestId)},
             {"upstream", std::string_view(m_context.upstreams.idOf(m_decision.primary))},
-            {"detail", std::string_view(detail)}, {"events_passed", m_forwardedEvents},
+            {"detail", std::string_view(detail)}, {"head_received", m_upstreamHead.status != 0},
+            {"events_passed", m_forwardedEvents}, {"shared_parts", sharedParts()},
             {"after_ms", std::int64_t{toMilliseconds(m_context.loop.now() - m_attemptStartedAt).count()}}});
     m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
     switch (failure) {
@@ -60,6 +62,12 @@
     retryOrGiveUp(detail);
 }
 
+std::vector<std::string> Exchange::sharedParts() const
+{
+    const auto ids = sharedPromptParts(m_head.fields.value(m_context.settings.names.promptParts));
+    return {ids.begin(), ids.end()};
+}
+
 bool Exchange::canRetry() const
 {
     const bool isAllowed = m_attempts.hasCertainlyNotRun() || m_route.isRepeatable();
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -23,6 +23,7 @@
     names.expectedUpstream = "Expected-Upstream";
     names.tokenUsage = "Tokens";
     names.outputEstimate = "Output-Estimate";
+    names.promptParts = "Prompt-Parts";
     names.lastEventId = "Last-Event-Id";
     names.enginePriority = "Engine-Priority";
     names.helpers = "Helpers";
--- a/src/gateway/types/wirenames.h
+++ b/src/gateway/types/wirenames.h
@@ -21,6 +21,8 @@
     std::string tokenUsage;
     /** The caller's estimate of the number of output tokens. */
     std::string outputEstimate;
+    /** The parts of the prompt in order, "ID:TOKENS" each, separated by commas. */
+    std::string promptParts;
     std::string lastEventId;
     /** Priority from 0 (highest) to 9 (lowest). */
     std::string enginePriority;
