--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -21,6 +21,10 @@
 /** Requests that were under way when their gateway was turned away arrive within this time (documented limit). */
 constexpr Milliseconds turnAwayDelay{500};
 constexpr int maxArrivalsTurnedAway = 2;
+/** Time from the last crash that shows a trigger until the gateways have to know it (documented limit). */
+constexpr Milliseconds triggerContactTime{3000};
+/** Requests with a known trigger that may still reach upstreams (documented limit). */
+constexpr int maxLateTriggers = 3;
 /** Documented time in which an instance reconnects to the store after a disruption. */
 constexpr Milliseconds storeReconnectTime{3000};
 /** A configuration must be applied within 2000 ms (documented limit); 1000 ms are allowed for transmission. */
@@ -142,6 +146,49 @@
     }
 }
 
+void Ledger::addCrashTrigger(const std::string &trigger, int maxCrashCount)
+{
+    m_crashTriggers[trigger].maxCrashCount = maxCrashCount;
+}
+
+void Ledger::recordCrash(const std::string &trigger, MonoTime at)
+{
+    CrashTrigger &it = m_crashTriggers[trigger];
+    if (++it.crashCount == it.maxCrashCount) {
+        it.shownAt = at;
+    }
+}
+
+int Ledger::crashCount(const std::string &trigger) const
+{
+    const auto it = m_crashTriggers.find(trigger);
+    return it == m_crashTriggers.end() ? 0 : it->second.crashCount;
+}
+
+std::optional<MonoTime> Ledger::crashTriggerKnownAt(const std::string &trigger) const
+{
+    const auto it = m_crashTriggers.find(trigger);
+    if (it == m_crashTriggers.end() || !it->second.shownAt) {
+        return std::nullopt;
+    }
+    return std::max(*it->second.shownAt + triggerContactTime, m_disruptedUntil);
+}
+
+void Ledger::checkCrashTrigger(const std::string &trigger, const std::string &id, MonoTime now)
+{
+    const auto knownAt = crashTriggerKnownAt(trigger);
+    if (!m_hasTimedChecks || !knownAt || now < *knownAt) {
+        return;
+    }
+    CrashTrigger &it = m_crashTriggers[trigger];
+    if (++it.lateArrivalCount > maxLateTriggers) {
+        addViolation("crash trigger", id,
+            "a request with '" + trigger + "', which had crashed " + std::to_string(it.crashCount)
+                + " upstreams, reached an upstream; it is the " + std::to_string(it.lateArrivalCount)
+                + "th after it had to be known");
+    }
+}
+
 void Ledger::setPlannedPhase(MonoTime from, MonoTime until)
 {
     m_plannedFrom = from;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -82,6 +82,14 @@
     void recordTurnedAway(const std::string &id, const std::string &upstream, MonoTime at, Milliseconds time);
     /** Checks, when a request arrives at `upstream`, that its gateway was not turned away. */
     void checkTurnedAway(const std::string &id, const std::string &upstream, MonoTime now);
+    /** Declares what crashes each upstream that begins on it; after `maxCrashCount` crashes it is known. */
+    void addCrashTrigger(const std::string &trigger, int maxCrashCount);
+    void recordCrash(const std::string &trigger, MonoTime at);
+    [[nodiscard]] int crashCount(const std::string &trigger) const;
+    /** Returns when the gateways had to know the trigger; empty before. */
+    [[nodiscard]] std::optional<MonoTime> crashTriggerKnownAt(const std::string &trigger) const;
+    /** Checks, when a request with `trigger` reaches an upstream, that it had not to be known. */
+    void checkCrashTrigger(const std::string &trigger, const std::string &id, MonoTime now);
     /** Sets the phase with planned actions only, in which no response may be interrupted. */
     void setPlannedPhase(MonoTime from, MonoTime until);
     void recordConfigurationVersion(std::uint64_t version, const std::string &service, MonoTime at);
@@ -117,7 +125,17 @@
         int arrivalCount = 0;
     };
 
+    struct CrashTrigger
+    {
+        int maxCrashCount = 0;
+        int crashCount = 0;
+        /** Time of crash number `maxCrashCount`. */
+        std::optional<MonoTime> shownAt;
+        int lateArrivalCount = 0;
+    };
+
     std::map<std::string, Limit> m_limits;
+    std::map<std::string, CrashTrigger> m_crashTriggers;
     // By upstream and gateway process.
     std::map<std::pair<std::string, std::string>, TurnedAway> m_turnedAway;
     MonoTime m_disruptedUntil{};
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -140,10 +140,27 @@
 
 void Proxy::listen(const std::string &address)
 {
-    m_socket.bind(Poco::Net::SocketAddress(address), true);
-    m_socket.listen();
-    m_socket.setBlocking(false);
-    m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
+    m_socket = std::make_unique<Poco::Net::ServerSocket>();
+    m_socket->bind(Poco::Net::SocketAddress(address), true);
+    m_socket->listen();
+    m_socket->setBlocking(false);
+    m_address = m_socket->address().toString();
+    m_loop.add(m_socket->impl()->sockfd(), shared_from_this(), {true, false});
+}
+
+void Proxy::stopListening()
+{
+    if (m_socket) {
+        m_loop.remove(m_socket->impl()->sockfd());
+        m_socket.reset();
+    }
+}
+
+void Proxy::resumeListening()
+{
+    if (!m_socket) {
+        listen(m_address);
+    }
 }
 
 void Proxy::setTarget(const std::string &target)
@@ -167,13 +184,13 @@
 
 std::string Proxy::address() const
 {
-    return m_socket.address().toString();
+    return m_address;
 }
 
 void Proxy::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
 {
     try {
-        Poco::Net::StreamSocket socket = m_socket.acceptConnection();
+        Poco::Net::StreamSocket socket = m_socket->acceptConnection();
         if (m_fault.isRefusing) {
             socket.setLinger(true, 0);
             socket.close();
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -38,6 +38,10 @@
     Proxy(eventloop::EventLoop &loop, std::string target);
 
     void listen(const std::string &address);
+    /** Closes the port, so that new connections are refused as by a host without the process; open ones go on. */
+    void stopListening();
+    /** Opens the port again at the address that it had. */
+    void resumeListening();
     void setTarget(const std::string &target);
     void setFault(const LinkFault &fault);
     void resetAll();
@@ -51,7 +55,8 @@
     eventloop::EventLoop &m_loop;
     std::string m_target;
     LinkFault m_fault;
-    Poco::Net::ServerSocket m_socket;
+    std::unique_ptr<Poco::Net::ServerSocket> m_socket;
+    std::string m_address;
     std::vector<std::shared_ptr<ProxiedConnection>> m_connections;
 };
 
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds eventInterval{20};
 constexpr Milliseconds plainResponseDelay{15};
 constexpr int slots = 16;
+/** Time from the begin of a request to the crash that it causes; shorter than the time to its first event. */
+constexpr Milliseconds crashDelay{12};
 /** Retry-After of an upstream that turns gateways away. */
 constexpr Milliseconds turnAwayTime{2000};
 
@@ -69,6 +71,7 @@
     m_ledger.clearLeaving(id);
     m_listener->listen(m_options.ip + ":0");
     m_proxy->setTarget(m_listener->address());
+    m_proxy->resumeListening();
     publish("ready");
 }
 
@@ -98,9 +101,22 @@
 {
     interruptRunningRequests();
     m_listener->closeAndReset();
+    m_proxy->stopListening();
     m_proxy->resetAll();
 }
 
+void SoakUpstream::crashBy(const std::string &trigger, const std::shared_ptr<ServedConnection> &connection)
+{
+    m_loop.after(crashDelay, [this, trigger, connection] {
+        if (!connection->isOpen() || !isRunning()) {
+            return;
+        }
+        m_ledger.recordCrash(trigger, m_loop.now());
+        crash();
+        m_options.onCrashed(*this);
+    });
+}
+
 void SoakUpstream::announceLeave()
 {
     m_isLeaving = true;
@@ -204,6 +220,12 @@
     }
     m_ledger.recordExecution(id, m_id);
     m_runningRequests.insert(id);
+    const std::string trigger = m_options.findCrashTrigger ? m_options.findCrashTrigger(request) : std::string();
+    if (!trigger.empty()) {
+        m_ledger.checkCrashTrigger(trigger, id, m_loop.now());
+        crashBy(trigger, connection);
+        return;
+    }
     if (m_faultMode == FaultMode::Hanging) {
         return;
     }
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -10,6 +10,7 @@
 #include "framework/eventloop/eventloop.h"
 #include "framework/global/random.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
         int kvCapacityTokens = 100'000;
         /** Services of further store entries for the same process, one for each version of the versioned route. */
         std::vector<std::string> aliases;
+        /** Returns the crash trigger that the request contains; empty if there is none. */
+        std::function<std::string(const Request &)> findCrashTrigger;
+        /** Called when a request has crashed the upstream. */
+        std::function<void(SoakUpstream &)> onCrashed;
     };
 
     SoakUpstream(eventloop::EventLoop &loop, Options options, SoakStore &store, Ledger &ledger, Random &random);
@@ -86,6 +91,8 @@
     void interruptRunningRequests();
     void serve(const std::shared_ptr<ServedConnection> &connection, const Request &request);
     void serveOrder(ServedConnection &connection, const Request &request);
+    /** Crashes the upstream, unless the caller has left by then. */
+    void crashBy(const std::string &trigger, const std::shared_ptr<ServedConnection> &connection);
     void startStream(
         const std::shared_ptr<ServedConnection> &connection, const Request &request, const std::string &id);
     void writeEvent(const std::shared_ptr<Stream> &stream);
--- a/tests/soak/tests/gatewaygroup.cpp
+++ b/tests/soak/tests/gatewaygroup.cpp
@@ -27,6 +27,7 @@
 {
     void onInput() override
     {
+        received.append(stream->input());
         stream->input().clear();
     }
     void onEnd(eventloop::StreamEnd /*end*/) override
@@ -35,6 +36,7 @@
     }
 
     std::shared_ptr<eventloop::TcpStream> stream;
+    std::string received;
 };
 
 GatewayGroup::GatewayGroup()
@@ -74,7 +76,14 @@
 {
     const Json route{{"Name", "safe"}, {"Host", "soak.example"}, {"Prefix", "/safe/"}, {"Kind", "safe"},
         {"Service", "app"}, {"TimeoutMs", 4000}, {"TargetLatencyMs", 1000}, {"Priority", 1}, {"MaxAttempts", 2}};
-    const Json configuration{{"Version", version}, {"Routes", {route}}, {"Services", {{{"Name", "app"}}}}};
+    const Json streamRoute{{"Name", "stream"}, {"Host", "soak.example"}, {"Prefix", "/stream/"}, {"Kind", "streaming"},
+        {"Service", "engine"}, {"TimeoutMs", 7000}, {"TargetLatencyMs", 1000}, {"GapTargetMs", 500}, {"Priority", 1},
+        {"MaxAttempts", 2}, {"Resumable", true}};
+    const Json engine{{"Slots", 16}, {"KvCapacityTokens", 100'000}, {"Stride", 10}, {"step_ms", 1.0},
+        {"per_seq_ms", 0.001}, {"context_per_k", 0.001}, {"read_per_s", 1'000'000}, {"pairs_per_m", 0.001},
+        {"chunk", 2048}, {"HopMs", 0.1}};
+    const Json configuration{{"Version", version}, {"Routes", {route, streamRoute}},
+        {"Services", {{{"Name", "app"}}, {{"Name", "engine"}, {"Engine", engine}}}}};
     store.put("op/config", configuration.dump());
 }
 
@@ -124,14 +133,43 @@
     });
 }
 
-void GatewayGroup::sendRequest(const std::string &id)
+void GatewayGroup::send(
+    const std::string &id, const std::string &requestLine, const std::string &body, const std::string &moreFields)
 {
     const auto sender = std::make_shared<Sender>();
     const auto &gateway = m_gateways[m_senders.size() % m_gateways.size()];
     sender->stream = eventloop::TcpStream::connect(loop, gateway->callerAddress(), *sender, {});
-    sender->stream->write("GET /safe/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: " + id
-        + "\r\nDeadline-Ms: 4000\r\nConnection: close\r\n\r\n");
+    sender->stream->write(requestLine + " HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: " + id
+        + "\r\nDeadline-Ms: 4000\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + moreFields
+        + "\r\n\r\n" + body);
     m_senders.push_back(sender);
+    m_senderById[id] = sender;
+}
+
+void GatewayGroup::sendRequest(const std::string &id, const std::string &path, const std::string &body)
+{
+    send(id, "GET " + path, body);
+}
+
+void GatewayGroup::sendPrompt(const std::string &id, const std::string &parts)
+{
+    constexpr const char *fields = "\r\nModel: m\r\nToken-Usage: 800,40\r\nPrompt-Prefix: ";
+    send(id, "POST /stream/x?n=10", {}, fields + parts);
+}
+
+int GatewayGroup::statusOf(const std::string &id) const
+{
+    constexpr std::size_t statusAt = 9;
+    const auto it = m_senderById.find(id);
+    return it == m_senderById.end() || it->second->received.size() < statusAt
+        ? 0
+        : std::atoi(it->second->received.c_str() + statusAt);
+}
+
+bool GatewayGroup::isStreamComplete(const std::string &id) const
+{
+    const auto it = m_senderById.find(id);
+    return it != m_senderById.end() && it->second->received.ends_with("0\r\n\r\n");
 }
 
 void GatewayGroup::pollStatuses()
--- a/tests/soak/tests/ledgertests.cpp
+++ b/tests/soak/tests/ledgertests.cpp
@@ -155,3 +155,21 @@
         CHECK((plan[i].at >= parameters.plannedPhaseDuration || plan[i].action <= Action::ReplaceUpstream));
     }
 }
+
+TEST_CASE("a known crash trigger may reach upstreams three more times")
+{
+    const int arrivals = GENERATE(3, 4);
+    Ledger ledger(true);
+    ledger.addCrashTrigger("part", 2);
+    ledger.recordCrash("part", startTime);
+    CHECK_FALSE(ledger.crashTriggerKnownAt("part"));
+    ledger.recordCrash("part", startTime);
+    CHECK(ledger.crashTriggerKnownAt("part") == startTime + Seconds(3));
+    for (int i = 0; i < 10; ++i) {
+        ledger.checkCrashTrigger("part", "early", startTime + Milliseconds(2900));
+    }
+    for (int i = 0; i < arrivals; ++i) {
+        ledger.checkCrashTrigger("part", "late", startTime + Milliseconds(3100));
+    }
+    CHECK(brokenGuarantees(ledger) == (arrivals == 3 ? "" : "crash trigger"));
+}
