Experiment: prompts that crash engines, in virtual time

The model's engines now crash on a marked request when its answer begins, take their other requests along, refuse new ones and are started again.

--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -260,6 +260,12 @@
     scheduleRetry(arrivalIndex, engineRefusalRetryDelay);
 }
 
+/** Workloads of policies have no crashes. */
+void Experiment::onBroken(enginemodel::JobId job, enginemodel::EngineIndex /*crashed*/, MonoTime at)
+{
+    onRefused(job, at);
+}
+
 void Experiment::endAttempt(enginemodel::JobId job)
 {
     const auto node = m_attempts.extract(job);
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -62,6 +62,7 @@
     void onEvent(enginemodel::JobId job, MonoTime at) override;
     void onDone(enginemodel::JobId job, MonoTime at) override;
     void onRefused(enginemodel::JobId job, MonoTime at) override;
+    void onBroken(enginemodel::JobId job, enginemodel::EngineIndex crashed, MonoTime at) override;
 
 private:
     struct Attempt
--- a/bench/experiment/recordedrun.cpp
+++ b/bench/experiment/recordedrun.cpp
@@ -125,6 +125,10 @@
     {
         m_running.erase(job);
     }
+    void onBroken(JobId job, enginemodel::EngineIndex /*crashed*/, MonoTime /*at*/) override
+    {
+        m_running.erase(job);
+    }
 
 private:
     std::size_t countEngines()
--- a/src/enginemodel/enginefleet.h
+++ b/src/enginemodel/enginefleet.h
@@ -37,6 +37,12 @@
     /** Removes a request from all engines; does nothing if `job` is unknown. */
     void cancel(JobId job, MonoTime now);
 
+    /** Ends `engine` with all requests that use it, until it is restarted; requests that are submitted to it are
+     * refused. */
+    void crash(EngineIndex engine, MonoTime now);
+    void restart(EngineIndex engine);
+    [[nodiscard]] bool isRunning(EngineIndex engine) const;
+
     /** Returns when the next pass ends, or nullopt if all engines are idle. */
     [[nodiscard]] std::optional<MonoTime> nextPassEnd() const;
     /** Finishes all passes that end at or before `now`, in the order of their ends. */
--- a/src/enginemodel/ienginefleetlistener.h
+++ b/src/enginemodel/ienginefleetlistener.h
@@ -19,6 +19,8 @@
     virtual void onDone(JobId job, MonoTime at) = 0;
     /** The job was not accepted: a queue is full, or it needs more memory than the engine has. */
     virtual void onRefused(JobId job, MonoTime at) = 0;
+    /** The primary or a helper of the job crashed; the job is removed already. */
+    virtual void onBroken(JobId job, EngineIndex crashed, MonoTime at) = 0;
 };
 
 } // namespace magnolia::enginemodel
--- a/src/enginemodel/internal/engine.h
+++ b/src/enginemodel/internal/engine.h
@@ -50,6 +50,8 @@
 struct Engine
 {
     double slowdown = 1;
+    // Invariant: an engine that does not run has no requests and no pass.
+    bool isRunning = true;
     // Invariant: sorted by priority, then by arrival, with preempted requests at the front; none is admitted.
     std::vector<JobState *> waiting;
     // In the order of admission.
--- a/src/enginemodel/internal/enginefleet.cpp
+++ b/src/enginemodel/internal/enginefleet.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <unordered_map>
+#include <utility>
 
 namespace magnolia::enginemodel
 {
@@ -28,6 +29,8 @@
     std::size_t preemptionCount = 0;
     // The engine whose pass is being finished; null outside of finishPass().
     const Engine *finishingEngine = nullptr;
+    // Engines that crash at the end of the pass that is being finished.
+    std::vector<EngineIndex> crashing;
 
     void startPassIfIdle(EngineIndex index, MonoTime now);
     void finishPass(EngineIndex index);
@@ -40,7 +43,7 @@
 };
 
 EngineFleet::EngineFleet(const catalogue::EngineModel &model, std::size_t engineCount, IEngineFleetListener &listener)
-    : m_impl(std::make_unique<Impl>(Impl{model, listener, std::vector<Engine>(engineCount), {}, 0, 0, nullptr}))
+    : m_impl(std::make_unique<Impl>(Impl{model, listener, std::vector<Engine>(engineCount), {}, 0, 0, nullptr, {}}))
 {
 }
 
@@ -67,7 +70,10 @@
     const bool isHelperFull = std::any_of(job.helpers.begin(), job.helpers.end(), [&](EngineIndex it) {
         return static_cast<int>(impl.engines.at(it).helperParts.size()) >= std::max(impl.model.slots, 1);
     });
-    if (isTooLarge || isHelperFull || primary.waiting.size() >= maxWaitingJobs) {
+    const bool isDown = !primary.isRunning || std::any_of(job.helpers.begin(), job.helpers.end(), [&](EngineIndex it) {
+        return !impl.engines.at(it).isRunning;
+    });
+    if (isDown || isTooLarge || isHelperFull || primary.waiting.size() >= maxWaitingJobs) {
         impl.listener.onRefused(job.id, now);
         return;
     }
@@ -98,6 +104,39 @@
     m_impl->startPassIfIdle(cancelledJob.primary, now);
 }
 
+void EngineFleet::crash(EngineIndex engine, MonoTime now)
+{
+    Engine &crashed = m_impl->engines.at(engine);
+    std::vector<ModelJob> broken;
+    for (const auto &[id, state] : m_impl->jobs) {
+        const auto &helpers = state->job.helpers;
+        if (state->job.primary == engine || std::find(helpers.begin(), helpers.end(), engine) != helpers.end()) {
+            broken.push_back(state->job);
+        }
+    }
+    std::sort(broken.begin(), broken.end(), [](const ModelJob &a, const ModelJob &b) {
+        return a.id < b.id;
+    });
+    for (const ModelJob &it : broken) {
+        m_impl->removeJob(*m_impl->jobs.at(it.id));
+    }
+    crashed.isRunning = false;
+    crashed.passEndsAt.reset();
+    for (const ModelJob &it : broken) {
+        m_impl->listener.onBroken(it.id, engine, now);
+    }
+}
+
+void EngineFleet::restart(EngineIndex engine)
+{
+    m_impl->engines.at(engine).isRunning = true;
+}
+
+bool EngineFleet::isRunning(EngineIndex engine) const
+{
+    return m_impl->engines.at(engine).isRunning;
+}
+
 std::optional<MonoTime> EngineFleet::nextPassEnd() const
 {
     std::optional<MonoTime> next;
@@ -120,6 +159,9 @@
             if (m_impl->engines[i].passEndsAt == next) {
                 m_impl->finishPass(i);
             }
+            for (const EngineIndex it : std::exchange(m_impl->crashing, {})) {
+                crash(it, *next);
+            }
         }
     }
 }
@@ -207,6 +249,12 @@
     std::copy_if(engine.admitted.begin(), engine.admitted.end(), std::back_inserter(due), [](const JobState *it) {
         return it->isFirstEventDue;
     });
+    if (std::any_of(due.begin(), due.end(), [](const JobState *it) {
+            return it->job.isCrashing;
+        })) {
+        crashing.push_back(due.front()->job.primary);
+        return;
+    }
     for (JobState *it : due) {
         it->isFirstEventDue = false;
         it->isDecoding = true;
--- a/src/enginemodel/tests/enginefleettests.cpp
+++ b/src/enginemodel/tests/enginefleettests.cpp
@@ -40,6 +40,10 @@
     {
         refused[job] = toMs(at);
     }
+    void onBroken(JobId job, EngineIndex /*crashed*/, MonoTime at) override
+    {
+        broken[job] = toMs(at);
+    }
 
     static double toMs(MonoTime at)
     {
@@ -49,6 +53,7 @@
     std::map<JobId, std::vector<double>> events;
     std::map<JobId, double> done;
     std::map<JobId, double> refused;
+    std::map<JobId, double> broken;
 };
 
 ModelJob makeJob(JobId id, double promptTokens, double outputTokens, EngineIndex primary = 0)
@@ -222,3 +227,41 @@
     fleet.advanceTo(runEnd);
     CHECK(recorder.done[1] == 106);
 }
+
+TEST_CASE("a job that crashes its engine breaks all requests there at the time of its first event")
+{
+    Recorder recorder;
+    EngineFleet fleet(makeModel(), 2, recorder);
+    fleet.submit(makeJob(1, 1000, 1000), start);
+    ModelJob crashing = makeJob(2, 1000, 1000);
+    crashing.isCrashing = true;
+    fleet.submit(crashing, start);
+    fleet.submit(makeJob(3, 1000, 20, 1), start);
+    fleet.advanceTo(start + Seconds(2));
+    CHECK(recorder.events[2].empty());
+    REQUIRE(recorder.broken.size() == 2);
+    CHECK(recorder.broken[1] == recorder.broken[2]);
+    CHECK(recorder.done.contains(3));
+    CHECK_FALSE(fleet.isRunning(0));
+    fleet.submit(makeJob(4, 1000, 20), start + Seconds(2));
+    CHECK(recorder.refused.contains(4));
+    fleet.restart(0);
+    fleet.submit(makeJob(5, 1000, 20), start + Seconds(3));
+    fleet.advanceTo(start + Seconds(4));
+    CHECK(recorder.done.contains(5));
+}
+
+TEST_CASE("the crash of a helper breaks the prompts that it prefills in part")
+{
+    Recorder recorder;
+    EngineFleet fleet(makeModel(), 2, recorder);
+    ModelJob shared = makeJob(1, 50'000, 20);
+    shared.helpers = {1};
+    fleet.submit(shared, start);
+    fleet.advanceTo(start + Milliseconds(10));
+    fleet.crash(1, start + Milliseconds(10));
+    CHECK(recorder.broken.contains(1));
+    CHECK(fleet.requestCount(0) == 0);
+    fleet.advanceTo(start + Seconds(2));
+    CHECK(recorder.done.empty());
+}
--- a/src/enginemodel/types/modeljob.h
+++ b/src/enginemodel/types/modeljob.h
@@ -26,6 +26,8 @@
     double reservedTokensPerHelper = 0;
     /** From 0 to 9; lower values are admitted first. */
     int priority = 5;
+    /** The primary crashes when it would emit the first event of the answer. */
+    bool isCrashing = false;
 };
 
 } // namespace magnolia::enginemodel
