--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -8,6 +8,7 @@
 #include "gateway/internal/memoryreservation.h"
 #include "gateway/internal/promptparts.h"
 #include "gateway/internal/reachabilityprobe.h"
+#include "gateway/internal/requesttraits.h"
 #include "gateway/internal/retryafter.h"
 #include "gateway/internal/upstreamcall.h"
 #include "gateway/iresponsewriter.h"
@@ -50,6 +51,7 @@
             {"upstream", std::string_view(m_context.upstreams.idOf(m_decision.primary))},
             {"detail", std::string_view(detail)}, {"head_received", m_upstreamHead.status != 0},
             {"events_passed", m_forwardedEvents}, {"shared_parts", sharedParts()},
+            {"fingerprint", quarantine::toHex({requestFingerprint(m_head, m_body, m_organisation)}).front()},
             {"after_ms", std::int64_t{toMilliseconds(m_context.loop.now() - m_attemptStartedAt).count()}}});
     m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
     if (failure == CallFailure::Broken || failure == CallFailure::Stale) {
--- a/src/gateway/internal/requesttraits.cpp
+++ b/src/gateway/internal/requesttraits.cpp
@@ -8,6 +8,16 @@
 namespace magnolia::gateway
 {
 
+namespace
+{
+
+std::string_view nameOf(const std::optional<catalogue::OrganisationEntry> &organisation)
+{
+    return organisation ? std::string_view(organisation->name.value()) : std::string_view();
+}
+
+} // namespace
+
 quarantine::RequestTraits requestTraits(const httpwire::RequestHead &head, const WireNames &names,
     const std::optional<catalogue::OrganisationEntry> &organisation)
 {
@@ -16,9 +26,7 @@
     for (const std::string_view id : sharedPromptParts(parts)) {
         traits.suspects.push_back(quarantine::makeFingerprint("part", {id}));
     }
-    const std::string_view organisationName
-        = organisation ? std::string_view(organisation->name.value()) : std::string_view();
-    traits.context.push_back(quarantine::makeFingerprint("organisation", {organisationName}));
+    traits.context.push_back(quarantine::makeFingerprint("organisation", {nameOf(organisation)}));
     traits.context.push_back(quarantine::makeFingerprint("model", {head.fields.value(names.model)}));
     const std::size_t lastComma = parts.rfind(',');
     if (lastComma != std::string_view::npos) {
@@ -28,4 +36,10 @@
     return traits;
 }
 
+quarantine::Fingerprint requestFingerprint(const httpwire::RequestHead &head, std::string_view body,
+    const std::optional<catalogue::OrganisationEntry> &organisation)
+{
+    return quarantine::makeFingerprint("request", {head.method, head.target, nameOf(organisation), body});
+}
+
 } // namespace magnolia::gateway
--- a/src/gateway/internal/requesttraits.h
+++ b/src/gateway/internal/requesttraits.h
@@ -6,7 +6,7 @@
 #include "catalogue/types/catalogue.h"
 
 #include <optional>
-#include <string>
+#include <string_view>
 
 namespace magnolia::httpwire
 {
@@ -26,4 +26,8 @@
 [[nodiscard]] quarantine::RequestTraits requestTraits(const httpwire::RequestHead &head, const WireNames &names,
     const std::optional<catalogue::OrganisationEntry> &organisation);
 
+/** Identifies requests that are the same to an upstream: path and query, organisation and body. */
+[[nodiscard]] quarantine::Fingerprint requestFingerprint(const httpwire::RequestHead &head, std::string_view body,
+    const std::optional<catalogue::OrganisationEntry> &organisation);
+
 } // namespace magnolia::gateway
