--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -46,12 +46,13 @@
     const auto self = shared_from_this();
     const bool wasSent = failure != CallFailure::NotConnected;
     m_upstreamCall.reset();
+    const std::string fingerprint = quarantine::toHex({requestFingerprint(m_head, m_body, m_organisation)}).front();
     logging::write(logging::Level::Info, "gateway", "attempt_failed",
         {{"request", std::string_view(m_requestId)},
             {"upstream", std::string_view(m_context.upstreams.idOf(m_decision.primary))},
             {"detail", std::string_view(detail)}, {"head_received", m_upstreamHead.status != 0},
             {"events_passed", m_forwardedEvents}, {"shared_parts", sharedParts()},
-            {"fingerprint", quarantine::toHex({requestFingerprint(m_head, m_body, m_organisation)}).front()},
+            {"fingerprint", std::string_view(fingerprint)},
             {"after_ms", std::int64_t{toMilliseconds(m_context.loop.now() - m_attemptStartedAt).count()}}});
     m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
     if (failure == CallFailure::Broken || failure == CallFailure::Stale) {
--- a/tests/soak/tests/crashtriggertests.cpp
+++ b/tests/soak/tests/crashtriggertests.cpp
@@ -93,3 +93,43 @@
         CHECK(group.isStreamComplete(id));
     }
 }
+
+TEST_CASE("a request that crashed three upstreams no longer reaches upstreams when it comes again while others do")
+{
+    constexpr std::size_t upstreamCount = 3;
+    constexpr int rounds = 160;
+    constexpr int roundsPerRepeat = 5;
+    constexpr int maxCrashCount = 3;
+    constexpr Milliseconds requestInterval{60};
+    const std::string poison = "poison";
+    GatewayGroup group;
+    Ledger ledger(true);
+    ledger.addCrashTrigger(poison, maxCrashCount);
+    CrashingUpstreams upstreams(group, ledger, "app", upstreamCount, [&](const Request &request) {
+        return request.body == poison ? poison : std::string();
+    });
+    REQUIRE(group.runUntil(
+        [&] {
+            return group.isInForceEverywhere(1) && group.isUpstreamCountEverywhere(upstreamCount);
+        },
+        startLimit));
+    std::vector<std::string> lateSoundIds;
+    for (int i = 0; i < rounds; ++i) {
+        const std::string number = std::to_string(i);
+        if (i % roundsPerRepeat == 0) {
+            group.sendRequest("bad" + number, "/safe/x", poison);
+        }
+        group.sendRequest("good" + number, "/safe/x", "body" + number);
+        if (i >= rounds / 2) {
+            lateSoundIds.push_back("good" + number);
+        }
+        group.runFor(requestInterval);
+    }
+    group.runFor(Milliseconds(1000));
+    CHECK(ledger.violations().empty());
+    CHECK(ledger.crashCount(poison) <= maxCrashCount + 3);
+    for (const std::string &id : lateSoundIds) {
+        INFO(id);
+        CHECK(group.statusOf(id) == 200);
+    }
+}
