Gateway: a stream without framing that ends between events is complete

What callers would see: such a stream was taken for broken off and sent to a second upstream, which went on after the last event; where it could not go on, the caller got an aborted stream though it had all of it.

Cause: Exchange::finishStream took every end without framing for a truncation. A reset is an end of neither kind.

--- a/bench/experiment/crashexperiment.cpp
+++ b/bench/experiment/crashexperiment.cpp
@@ -351,7 +351,7 @@
 
 void CrashExperiment::recordKnowledge()
 {
-    const auto knows = [this](quarantine::QuarantineTable &table) {
+    const auto knows = [](quarantine::QuarantineTable &table) {
         const auto &entries = table.entries();
         return std::any_of(entries.begin(), entries.end(), [](const quarantine::QuarantineEntry &it) {
             return contains(it.traits.suspects, Fingerprint{crashingPart});
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -43,7 +43,7 @@
 
     void onResponseHead(const httpwire::ResponseHead &head) override;
     void onResponseBody(std::string_view bytes) override;
-    void onResponseComplete(bool isFramed) override;
+    void onResponseComplete() override;
     void onCallFailed(CallFailure failure, const std::string &detail) override;
 
 private:
@@ -79,7 +79,7 @@
     void giveUp(std::string_view reason, Milliseconds retryAfter);
     void onFullResponse();
     void forwardEvents();
-    void finishStream(bool isFramed);
+    void finishStream();
     void forwardResponse();
     void onTimeout();
     void checkSilence();
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -145,21 +145,22 @@
     }
 }
 
-void Exchange::onResponseComplete(bool isFramed)
+void Exchange::onResponseComplete()
 {
     m_upstreamCall.reset();
     if (m_isStreaming) {
-        finishStream(isFramed);
+        finishStream();
         return;
     }
     onFullResponse();
 }
 
-void Exchange::finishStream(bool isFramed)
+/** A stream without framing ends with its connection; only an end between events is one that its upstream meant. */
+void Exchange::finishStream()
 {
-    if (m_eventSplitter.hasPartialEvent() || m_forwardedEvents == 0 || !isFramed) {
-        // A body that ends with its connection may have been truncated.
-        onCallFailed(CallFailure::Broken, isFramed ? "stream ended within an event" : "stream without a framed end");
+    if (m_eventSplitter.hasPartialEvent() || m_forwardedEvents == 0) {
+        onCallFailed(CallFailure::Broken,
+            m_forwardedEvents == 0 ? "stream ended before its first event" : "stream ended within an event");
         return;
     }
     m_attempts.end(AttemptExecution::MayHaveRun);
--- a/src/gateway/internal/iupstreamcalllistener.h
+++ b/src/gateway/internal/iupstreamcalllistener.h
@@ -31,8 +31,8 @@
     /** The head of the response to this request has arrived. */
     virtual void onResponseHead(const httpwire::ResponseHead &head) = 0;
     virtual void onResponseBody(std::string_view bytes) = 0;
-    /** The response is complete. `isFramed` is false if only the end of the connection marked the end of the body. */
-    virtual void onResponseComplete(bool isFramed) = 0;
+    /** The response is complete: by its framing, or by the regular end of its connection if it has none. */
+    virtual void onResponseComplete() = 0;
     /** Called at most once, and no other call follows. */
     virtual void onCallFailed(CallFailure failure, const std::string &detail) = 0;
 };
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -198,7 +198,7 @@
         m_stream->close();
     }
     m_stream.reset();
-    user->onResponseComplete(isFramed);
+    user->onResponseComplete();
 }
 
 void UpstreamCall::onEnd(eventloop::StreamEnd end)
