Soak: prompts and requests that crash their upstreams

Two more faults, drawn apart from the others, so that the plan of a seed has the same other faults as before: for the rest of the fault phase 15 in 100 prompts carry a part that crashes engines, or as many lookups a body that crashes their upstreams, which are back 1.2 s later. All prompts have a first part in common, so that the sound ones share it with the guilty.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -165,6 +165,15 @@
     return it == m_crashTriggers.end() ? 0 : it->second.crashCount;
 }
 
+void Ledger::forgetCrashes()
+{
+    for (auto &[name, it] : m_crashTriggers) {
+        it.crashCount = 0;
+        it.shownAt.reset();
+        it.lateArrivalCount = 0;
+    }
+}
+
 std::optional<MonoTime> Ledger::crashTriggerKnownAt(const std::string &trigger) const
 {
     const auto it = m_crashTriggers.find(trigger);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -86,6 +86,8 @@
     void addCrashTrigger(const std::string &trigger, int maxCrashCount);
     void recordCrash(const std::string &trigger, MonoTime at);
     [[nodiscard]] int crashCount(const std::string &trigger) const;
+    /** All gateways have lost what they knew of crashes. */
+    void forgetCrashes();
     /** Returns when the gateways had to know the trigger; empty before. */
     [[nodiscard]] std::optional<MonoTime> crashTriggerKnownAt(const std::string &trigger) const;
     /** Checks, when a request with `trigger` reaches an upstream, that it had not to be known. */
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -3,6 +3,8 @@
 
 #include "framework/global/random.h"
 
+#include <algorithm>
+
 namespace magnolia::soak
 {
 
@@ -11,6 +13,9 @@
 
 constexpr Milliseconds minFaultDuration{300};
 constexpr std::uint64_t maxExtraDurationMs = 3200;
+constexpr double crashProbability = 0.5;
+/** Separates the draws of crashing requests from those of the other faults. */
+constexpr std::uint64_t crashSeed = 0x6372617368ULL;
 
 } // namespace
 
@@ -67,6 +72,10 @@
         return "an upstream turns gateways away for a time";
     case Action::UpstreamLimited:
         return "an upstream names a limit";
+    case Action::CrashingPart:
+        return "prompts with one part crash their engines";
+    case Action::CrashingRequest:
+        return "a request that comes again crashes its upstreams";
     }
     return "unknown";
 }
@@ -81,7 +90,7 @@
         at += Milliseconds(
             static_cast<std::int64_t>(random.exponential(static_cast<double>(parameters.meanInterval.count()))));
         if (at >= end) {
-            return plan;
+            break;
         }
         const bool isPlanned = at < parameters.plannedPhaseDuration;
         const auto first = static_cast<std::uint64_t>(isPlanned ? Action::StopGateway : Action::KillGateway);
@@ -94,6 +103,18 @@
         plan.push_back({at, minFaultDuration + Milliseconds(random.below(maxExtraDurationMs)),
             static_cast<Action>(actionNumber), random.below(1'000'000)});
     }
+    Random crashRandom(parameters.seed ^ crashSeed);
+    for (const Action action : {Action::CrashingPart, Action::CrashingRequest}) {
+        if (crashRandom.chance(crashProbability)) {
+            const auto faultPhaseMs = static_cast<std::uint64_t>(parameters.faultPhaseDuration.count());
+            plan.push_back({parameters.plannedPhaseDuration + Milliseconds(crashRandom.below(faultPhaseMs)),
+                parameters.faultPhaseDuration, action, crashRandom.next()});
+        }
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) {
+        return a.at < b.at;
+    });
+    return plan;
 }
 
 } // namespace magnolia::soak
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -39,6 +39,9 @@
     UpstreamHanging,
     UpstreamTurningAway,
     UpstreamLimited,
+    // Drawn apart from the others, so that the plan of a seed has the same other faults as before.
+    CrashingPart,
+    CrashingRequest,
 };
 
 [[nodiscard]] std::string_view toString(Action action);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -35,6 +35,11 @@
 constexpr double upstreamLimit = 1.5;
 /** The store entry of a crashed upstream expires after three missed heartbeat intervals. */
 constexpr Milliseconds entryExpiryDelay{3000};
+/** Time after which an upstream that a request has crashed is started again. */
+constexpr Milliseconds crashRestartDelay{1200};
+/** Crashes after which such requests have to be known (documented limits). */
+constexpr int maxCrashesByPart = 5;
+constexpr int maxCrashesByRequest = 3;
 /** Longer than any fault of the plan, so that all faults have been reverted after it. */
 constexpr Milliseconds recoveryTime{4500};
 /** Timeout for conditions without a time limit of their own; far above all time limits, it only ends a hanging run. */
@@ -57,6 +62,17 @@
     return "z" + std::to_string(number % 3 + 1);
 }
 
+/** Returns the trigger in force that the request contains; empty if there is none. */
+std::string findCrashTrigger(const SoakCaller::Environment &environment, const Request &request)
+{
+    if (!environment.crashingBody.empty() && request.body == environment.crashingBody) {
+        return environment.crashingBody;
+    }
+    const std::string &part = environment.crashingPart;
+    const std::string_view parts = request.head.fields.value("Prompt-Prefix");
+    return !part.empty() && parts.find(part + ':') != std::string_view::npos ? part : std::string();
+}
+
 double gaugeValue(const std::string &metrics, const std::string &name)
 {
     const std::size_t at = metrics.find('\n' + name + ' ');
@@ -113,6 +129,12 @@
         if (!options.isEngine) {
             options.aliases = versions;
         }
+        options.findCrashTrigger = [this](const Request &request) {
+            return findCrashTrigger(m_environment, request);
+        };
+        options.onCrashed = [this](SoakUpstream &upstream) {
+            restartUpstream(upstream, crashRestartDelay);
+        };
         m_upstreams.push_back(std::make_unique<SoakUpstream>(m_loop, options, *m_store, m_ledger, m_random));
     }
     m_unreleasedCounts.resize(m_parameters.gatewayCount);
@@ -285,6 +307,8 @@
         publishConfiguration();
     } else if (fault.action >= Action::StoreUnavailable && fault.action <= Action::StoreLinkSlow) {
         applyStoreFault(fault);
+    } else if (fault.action == Action::CrashingPart || fault.action == Action::CrashingRequest) {
+        applyCrashTrigger(fault);
     } else if (fault.action == Action::ReplaceUpstream || fault.action >= Action::UpstreamLinkSilent) {
         applyUpstreamFault(fault);
     } else {
@@ -323,6 +347,7 @@
         for (const auto &it : m_gateways) {
             it->sendSignal(SIGKILL);
         }
+        m_ledger.forgetCrashes();
         return;
     default:
         gateway.sendSignal(SIGKILL);
@@ -394,6 +419,30 @@
     applyLinkFault(linkFault);
 }
 
+void Soak::applyCrashTrigger(const Fault &fault)
+{
+    const bool isPart = fault.action == Action::CrashingPart;
+    const std::string name = (isPart ? "part-" : "body-") + std::to_string(fault.targetNumber);
+    m_ledger.addCrashTrigger(name, isPart ? maxCrashesByPart : maxCrashesByRequest);
+    std::string &trigger = isPart ? m_environment.crashingPart : m_environment.crashingBody;
+    applyTemporarily(
+        fault, name,
+        [&trigger, &name] {
+            trigger = name;
+        },
+        [&trigger] {
+            trigger.clear();
+        });
+}
+
+void Soak::restartUpstream(SoakUpstream &upstream, Milliseconds delay)
+{
+    m_loop.after(delay, [this, &upstream] {
+        upstream.stop();
+        upstream.start(nextUpstreamId());
+    });
+}
+
 void Soak::replaceUpstream(SoakUpstream &upstream)
 {
     upstream.announceLeave();
@@ -459,10 +508,7 @@
         return;
     case Action::UpstreamCrash:
         upstream.crash();
-        m_loop.after(entryExpiryDelay, [this, &upstream] {
-            upstream.stop();
-            upstream.start(nextUpstreamId());
-        });
+        restartUpstream(upstream, entryExpiryDelay);
         return;
     case Action::UpstreamTruncating:
         applyFaultMode(FaultMode::Truncating);
@@ -511,6 +557,7 @@
     for (const auto &it : m_gateways) {
         it->sendSignal(SIGKILL);
     }
+    m_ledger.forgetCrashes();
     // Wait until all gateways have been restarted, since the restarted processes have to serve.
     m_loop.after(2 * restartCheckInterval + restartDelay + restartDelay, [this] {
         checkServiceRestored();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -59,7 +59,10 @@
     void applyGatewayFault(const Fault &fault);
     void applyStoreFault(const Fault &fault);
     void applyUpstreamFault(const Fault &fault);
+    void applyCrashTrigger(const Fault &fault);
     void replaceUpstream(SoakUpstream &upstream);
+    /** Starts a crashed upstream again after `delay`, under a new id. */
+    void restartUpstream(SoakUpstream &upstream, Milliseconds delay);
     /** Restarts gateway processes that have ended; reverts no fault. */
     void restartEndedGateways();
     void pollDirectory();
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -15,6 +15,8 @@
 /** Probability that a caller sends its next request on its open connection. */
 constexpr double connectionReuseProbability = 0.85;
 constexpr double abandonProbability = 0.03;
+/** Share of the requests of a kind that crash their upstreams while such a fault is active. */
+constexpr double crashingProbability = 0.15;
 constexpr std::size_t maxHeadSize = 64 * 1024;
 
 } // namespace
@@ -93,7 +95,11 @@
         record.kind = RequestKind::Versioned;
         head.target = "/versioned/x";
     }
-    const std::string body(random.below(3000), 'b');
+    std::string body(random.below(3000), 'b');
+    if (!m_environment.crashingBody.empty() && record.kind == RequestKind::Idempotent
+        && random.chance(crashingProbability)) {
+        body = m_environment.crashingBody;
+    }
     head.fields.add("Host", "soak.example");
     head.fields.add("Request-Id", record.id);
     head.fields.add("Deadline-Ms", std::to_string(requestTimeout.count()));
@@ -101,6 +107,10 @@
     if (record.kind == RequestKind::Stream) {
         head.fields.add("Model", "m");
         head.fields.add("Token-Usage", std::to_string(tokens) + ",400");
+        const bool isCrashing = !m_environment.crashingPart.empty() && random.chance(crashingProbability);
+        head.fields.add("Prompt-Prefix",
+            "first:40," + (isCrashing ? m_environment.crashingPart + ":100," : std::string()) + "own-" + record.id
+                + ":100");
     }
     head.fields.add("Content-Length", std::to_string(body.size()));
     return httpwire::writeRequestHead(head) + body;
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -31,6 +31,9 @@
         std::function<std::string()> chooseAddress;
         /** Returns the name of the process that listens on `address` now. */
         std::function<std::string(const std::string &address)> processAt;
+        /** Part of prompts, and body of requests, that crash upstreams; empty if none does. */
+        std::string crashingPart{};
+        std::string crashingBody{};
     };
 
     SoakCaller(Environment &environment, int number);
