--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -49,7 +49,7 @@
     void announceLeaving(const LeavingUpstream &upstream);
     /** Tells all live peers that an upstream has named, changed or ended its limit. */
     void announceLimit(const UpstreamLimit &limit);
-    /** Tells all live peers within `batchDelay` of a crash. Beyond `maxCrashesPerBatch` in that time it is not told. */
+    /** Tells all live peers of a crash within `batchDelay`; at most `maxCrashesPerBatch` crashes in that time. */
     void announceCrash(CrashRecord crash);
     /** Tells all live peers within `batchDelay` that a request with a suspect of crashes has succeeded. */
     void announceSuccess(std::uint64_t suspect);
--- a/src/gateway/internal/crashmonitor.cpp
+++ b/src/gateway/internal/crashmonitor.cpp
@@ -16,14 +16,14 @@
 
 /** Time in which the reports of one crash arrive from all instances; conclusions wait for it. */
 constexpr Milliseconds settleTime{50};
-/** Crashes under one request from which on its success is told; most requests do not come again. */
+/** Crashes under one request from which its success is announced to peers; most requests do not come again. */
 constexpr std::size_t minCrashesOfRequest = 2;
 /** Attempts of one run that are reported; more of them tell nothing new. */
 constexpr std::size_t maxReportsPerRun = 16;
 constexpr std::size_t maxPendingRuns = 256;
 /** Time for which a crashed run is remembered; connections that break later belong to another run. */
 constexpr Milliseconds crashedRunLifetime{60'000};
-/** Ages beyond this are sent as this. */
+/** Upper bound of an age in a message. */
 constexpr std::int64_t maxAgeMs = 4'000'000'000;
 
 std::uint32_t ageMs(MonoTime at, MonoTime now)
--- a/src/quarantine/findculprits.h
+++ b/src/quarantine/findculprits.h
@@ -25,9 +25,9 @@
      * it show that there are other reasons: if it is present in one of two crashes, twice as many are needed.
      */
     std::size_t minCrashes = 3;
-    /** Upper bound of that number. */
+    /** Upper bound of the number of crashes that a property without successes needs. */
     std::size_t maxRequiredCrashes = 8;
-    /** The same for a property whose requests succeeded not long before. */
+    /** Lower bound for a property whose requests succeeded not long before. */
     std::size_t minCrashesOfEstablished = 8;
     /** Tolerated error of times that other instances have sent. */
     Milliseconds clockTolerance{20};
--- a/src/quarantine/quarantinetable.h
+++ b/src/quarantine/quarantinetable.h
@@ -95,7 +95,7 @@
 
     QuarantineParameters m_parameters;
     std::deque<CrashReport> m_reports;
-    // Invariant: no entry refuses a part of what another one refuses.
+    // Invariant: no two entries of which one refuses every request that the other one refuses.
     std::vector<QuarantineEntry> m_entries;
     std::vector<QuarantineEntry> m_ended;
     // Last success by suspect; only suspects of reports and entries are kept.
