--- /dev/null
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -0,0 +1,375 @@
+// Starts the gateways and cuts their links.
+#include "gatewayfleet.h"
+
+#include "gatewayfixture.h"
+
+#include "gateway/gateway.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+
+namespace magnolia::gateway::tests
+{
+
+namespace
+{
+
+constexpr Milliseconds checkInterval{2};
+constexpr Milliseconds startLimit{5000};
+
+Poco::Net::SocketAddress freeAddress()
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+    return socket.address();
+}
+
+/** Returns the configuration "c" and the upstreams "0", "1" and so on, and reports no changes. */
+class FixedStore : public published::IStoreClient
+{
+public:
+    FixedStore(eventloop::EventLoop &loop, std::size_t upstreamCount)
+        : m_loop(loop)
+    {
+        m_page.items.push_back({"c", {}, 1, false});
+        for (std::size_t i = 0; i < upstreamCount; ++i) {
+            m_page.items.push_back({std::to_string(i), {}, i + 2, false});
+        }
+        m_page.position = {0, upstreamCount + 2};
+    }
+
+    void readPage(const std::string & /*afterKey*/, std::function<void(Result<published::StorePage>)> done) override
+    {
+        m_loop.after(Milliseconds(1), [this, done = std::move(done)] {
+            done(m_page);
+        });
+    }
+    void watch(std::uint64_t /*revision*/, Milliseconds /*wait*/,
+        std::function<void(Result<published::StoreChanges>)> /*done*/) override
+    {
+    }
+    void cancelWatch() override
+    {
+    }
+    void check(std::uint64_t /*revision*/, std::function<void(Result<published::StoreChanges>)> done) override
+    {
+        m_loop.after(Milliseconds(1), [this, done = std::move(done)] {
+            done(published::StoreChanges{{}, m_page.position, false});
+        });
+    }
+
+private:
+    eventloop::EventLoop &m_loop;
+    published::StorePage m_page;
+};
+
+catalogue::Route makeRoute(const std::string &name, catalogue::RouteKind kind, const std::string &service)
+{
+    catalogue::Route route;
+    route.name = name;
+    route.host = "h";
+    route.prefix = '/' + name + '/';
+    route.kind = kind;
+    route.destinations = {{service, 1}};
+    route.timeout = Milliseconds(4000);
+    route.latencyTarget = Milliseconds(300);
+    route.gapTarget = Milliseconds(250);
+    route.maxAttempts = 2;
+    route.isResumable = kind == catalogue::RouteKind::Stream;
+    return route;
+}
+
+} // namespace
+
+void FleetCaller::onInput()
+{
+    received.append(stream->input());
+    stream->input().clear();
+}
+
+void FleetCaller::onEnd(eventloop::StreamEnd /*end*/)
+{
+    hasEnded = true;
+    stream->close();
+}
+
+int FleetCaller::status() const
+{
+    constexpr std::size_t statusAt = 9;
+    return received.size() < statusAt ? 0 : std::atoi(received.c_str() + statusAt);
+}
+
+std::string FleetCaller::body() const
+{
+    const std::size_t at = received.find("\r\n\r\n");
+    std::string text = at == std::string::npos ? std::string() : received.substr(at + 4);
+    if (received.find("Transfer-Encoding: chunked") == std::string::npos) {
+        return text;
+    }
+    std::string joined;
+    while (!text.empty()) {
+        const std::size_t lineEnd = text.find("\r\n");
+        const std::size_t size = std::stoul(text, nullptr, 16);
+        joined += text.substr(lineEnd + 2, size);
+        text.erase(0, std::min(text.size(), lineEnd + 2 + size + 2));
+    }
+    return joined;
+}
+
+bool FleetCaller::isComplete() const
+{
+    const std::size_t at = received.find("\r\n\r\n");
+    if (at == std::string::npos) {
+        return false;
+    }
+    if (received.find("Transfer-Encoding: chunked") < at) {
+        return received.ends_with("0\r\n\r\n");
+    }
+    const std::string length = headerField(received.substr(0, at + 2), "Content-Length");
+    return !length.empty() && received.size() - at - 4 >= std::stoul(length);
+}
+
+/** Decodes the fixed items with the addresses by which one gateway reaches the upstreams. */
+struct GatewayFleet::Instance : published::IItemDecoder
+{
+    ItemKind kindOf(const std::string &key) const override
+    {
+        return key == "c" ? ItemKind::Configuration : ItemKind::Upstream;
+    }
+    std::optional<catalogue::Catalogue> decodeConfiguration(const published::StoreItem & /*item*/) const override
+    {
+        catalogue::Catalogue result;
+        result.version = 1;
+        result.services["app"].name = "app";
+        catalogue::Service &engineService = result.services["engine"];
+        engineService.name = "engine";
+        catalogue::EngineModel engine;
+        engine.slots = 16;
+        engine.kvCapacityTokens = 100'000;
+        engine.prefillTokensPerMs = 1000;
+        engine.chunkTokens = 2048;
+        engineService.engine = engine;
+        result.routesByHost["h"] = {makeRoute("once", catalogue::RouteKind::AtMostOnce, "app"),
+            makeRoute("safe", catalogue::RouteKind::Idempotent, "app"),
+            makeRoute("stream", catalogue::RouteKind::Stream, "engine")};
+        return result;
+    }
+    std::optional<catalogue::UpstreamEntry> decodeUpstream(const published::StoreItem &item) const override
+    {
+        const std::size_t index = std::stoul(item.key);
+        catalogue::UpstreamEntry result;
+        result.id = UpstreamId("u" + item.key);
+        result.service = services[index];
+        result.address = upstreams[index]->address();
+        result.dataCentre = settings.dataCentre;
+        result.slots = 16;
+        return result;
+    }
+
+    GatewaySettings settings;
+    std::vector<std::string> services;
+    std::vector<std::shared_ptr<ScriptedUpstream>> upstreams;
+    std::unique_ptr<FixedStore> store;
+    std::unique_ptr<Gateway> gateway;
+    Cut cut = Cut::Refusing;
+};
+
+GatewayFleet::GatewayFleet(const std::vector<std::string> &dataCentres)
+{
+    const GatewayFixture names;
+    std::vector<fleet::PeerAddress> peers;
+    for (const std::string &it : dataCentres) {
+        auto instance = std::make_unique<Instance>();
+        GatewaySettings &settings = instance->settings;
+        settings = names.settings;
+        settings.instance = InstanceId("g" + std::to_string(m_instances.size()));
+        settings.dataCentre = DataCentreId(it);
+        settings.callerAddress = freeAddress().toString();
+        settings.directoryAddress = freeAddress().toString();
+        settings.metricsAddress = freeAddress().toString();
+        settings.peerAddress = {"127.0.0.1", freeAddress().port()};
+        settings.paths.locate = "/locate";
+        peers.push_back(settings.peerAddress);
+        m_instances.push_back(std::move(instance));
+    }
+    for (const auto &it : m_instances) {
+        it->settings.seeds = peers;
+    }
+}
+
+GatewayFleet::~GatewayFleet()
+{
+    for (const auto &it : m_instances) {
+        it->gateway.reset();
+    }
+}
+
+void GatewayFleet::addUpstream(const std::string &service, const ScriptedUpstream::Script &script)
+{
+    m_services.push_back(service);
+    for (const auto &it : m_instances) {
+        it->services = m_services;
+        it->upstreams.push_back(std::make_shared<ScriptedUpstream>(loop, script));
+        it->upstreams.back()->listen();
+    }
+}
+
+void GatewayFleet::start()
+{
+    std::uint64_t seed = 3;
+    for (const auto &it : m_instances) {
+        it->store = std::make_unique<FixedStore>(loop, m_services.size());
+        const auto writeAddresses = [](const std::vector<std::string> &addresses, Milliseconds) {
+            std::string text;
+            for (const std::string &address : addresses) {
+                text += address + ' ';
+            }
+            return text;
+        };
+        it->gateway = std::make_unique<Gateway>(
+            loop, it->settings, GatewayDependencies{*it->store, *it, writeAddresses, nullptr}, seed++);
+        if (!it->gateway->start()) {
+            throw std::runtime_error("a gateway did not start");
+        }
+    }
+    const bool isStarted = runUntil(
+        [&] {
+            return std::all_of(m_instances.begin(), m_instances.end(), [&](const auto &it) {
+                const std::string addresses = get(it->settings.directoryAddress, "/locate");
+                return std::all_of(m_instances.begin(), m_instances.end(), [&](const auto &other) {
+                    return addresses.find(other->settings.callerAddress) != std::string::npos;
+                });
+            });
+        },
+        startLimit);
+    if (!isStarted) {
+        throw std::runtime_error("the gateways did not find each other");
+    }
+}
+
+void GatewayFleet::cut(std::size_t gateway, Cut cut)
+{
+    m_instances[gateway]->cut = cut;
+    for (const auto &it : m_instances[gateway]->upstreams) {
+        if (cut == Cut::Hanging) {
+            it->setHanging(true);
+            continue;
+        }
+        it->stopListening();
+        if (cut == Cut::Reset) {
+            it->resetConnections();
+        }
+    }
+}
+
+void GatewayFleet::restore(std::size_t gateway)
+{
+    for (const auto &it : m_instances[gateway]->upstreams) {
+        if (m_instances[gateway]->cut == Cut::Hanging) {
+            it->setHanging(false);
+        } else {
+            it->resumeListening();
+        }
+    }
+}
+
+void GatewayFleet::crash(std::size_t index)
+{
+    for (const auto &it : m_instances) {
+        it->upstreams[index]->stopListening();
+        it->upstreams[index]->resetConnections();
+    }
+}
+
+void GatewayFleet::beginStop(std::size_t gateway)
+{
+    m_instances[gateway]->gateway->beginStop();
+}
+
+std::shared_ptr<FleetCaller> GatewayFleet::send(std::size_t gateway, const std::string &id, const std::string &path,
+    const std::string &moreFields, const std::string &deadlineMs)
+{
+    auto caller = std::make_shared<FleetCaller>();
+    caller->stream = eventloop::TcpStream::connect(loop, callerAddress(gateway), *caller, {});
+    caller->stream->write("POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline: " + deadlineMs
+        + "\r\n" + moreFields + "Content-Length: 4\r\n\r\nbody");
+    m_callers.push_back(caller);
+    return caller;
+}
+
+bool GatewayFleet::runUntil(const std::function<bool()> &isDone, Milliseconds time)
+{
+    const MonoTime begunAt = eventloop::EventLoop::readClock();
+    while (!isDone()) {
+        if (eventloop::EventLoop::readClock() - begunAt > time) {
+            return false;
+        }
+        runFor(checkInterval);
+    }
+    return true;
+}
+
+void GatewayFleet::runFor(Milliseconds time)
+{
+    loop.after(time, [this] {
+        loop.stop();
+    });
+    loop.run();
+}
+
+std::shared_ptr<FleetCaller> GatewayFleet::run(
+    std::size_t gateway, const std::string &id, const std::string &path, const std::string &moreFields)
+{
+    auto caller = send(gateway, id, path, moreFields);
+    runUntil([&] {
+        return caller->isComplete() || caller->hasEnded;
+    });
+    return caller;
+}
+
+std::string GatewayFleet::get(const std::string &address, const std::string &path)
+{
+    FleetCaller client;
+    client.stream = eventloop::TcpStream::connect(loop, address, client, {});
+    client.stream->write("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    const MonoTime begunAt = eventloop::EventLoop::readClock();
+    while (
+        !client.isComplete() && !client.hasEnded && eventloop::EventLoop::readClock() - begunAt < Milliseconds(1000)) {
+        runFor(checkInterval);
+    }
+    client.stream->close();
+    return client.body();
+}
+
+nlohmann::json GatewayFleet::status(std::size_t gateway)
+{
+    return nlohmann::json::parse(get(m_instances[gateway]->settings.metricsAddress, "/status"), nullptr, false);
+}
+
+std::string GatewayFleet::callerAddresses(std::size_t gateway)
+{
+    return get(m_instances[gateway]->settings.directoryAddress, "/locate");
+}
+
+std::string GatewayFleet::callerAddress(std::size_t gateway) const
+{
+    return m_instances[gateway]->settings.callerAddress;
+}
+
+ScriptedUpstream &GatewayFleet::upstream(std::size_t gateway, std::size_t index)
+{
+    return *m_instances[gateway]->upstreams[index];
+}
+
+std::size_t GatewayFleet::requestCount(std::size_t gateway) const
+{
+    std::size_t count = 0;
+    for (const auto &it : m_instances[gateway]->upstreams) {
+        count += it->requests.size();
+    }
+    return count;
+}
+
+} // namespace magnolia::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/gatewayfleet.h
@@ -0,0 +1,102 @@
+// Several complete gateways before the same upstreams on one event loop. Each gateway reaches the upstreams by links of
+// its own, which can be cut.
+#pragma once
+
+#include "scriptedupstream.h"
+
+#include "framework/eventloop/eventloop.h"
+#include "framework/eventloop/itcpstreamlistener.h"
+#include "framework/eventloop/tcpstream.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnolia::gateway::tests
+{
+
+/** What an instance that is cut from all upstreams sees of them. */
+enum class Cut {
+    /** Open connections are reset and new ones are refused. */
+    Reset,
+    /** Neither open nor new connections are answered. */
+    Hanging,
+    /** Open connections go on and new ones are refused. */
+    Refusing,
+};
+
+/** Connection of a caller that records the received bytes. */
+struct FleetCaller : eventloop::ITcpStreamListener
+{
+    void onInput() override;
+    void onEnd(eventloop::StreamEnd end) override;
+
+    /** Returns the status of the answer; 0 before its head has arrived. */
+    [[nodiscard]] int status() const;
+    /** Returns the answer after its head, without framing. */
+    [[nodiscard]] std::string body() const;
+    /** Whether the answer is complete. */
+    [[nodiscard]] bool isComplete() const;
+
+    std::shared_ptr<eventloop::TcpStream> stream;
+    std::string received;
+    bool hasEnded = false;
+};
+
+class GatewayFleet
+{
+public:
+    /** Creates one gateway in each of `dataCentres`. */
+    explicit GatewayFleet(const std::vector<std::string> &dataCentres);
+    ~GatewayFleet();
+    GatewayFleet(const GatewayFleet &) = delete;
+    GatewayFleet &operator=(const GatewayFleet &) = delete;
+
+    /** Adds an upstream of the engine service "engine" or of the plain service "app"; call it before start(). */
+    void addUpstream(const std::string &service, const ScriptedUpstream::Script &script);
+    /** Starts all gateways and waits until they are ready and know each other. */
+    void start();
+    void cut(std::size_t gateway, Cut cut);
+    /** Ends the cut of a gateway. */
+    void restore(std::size_t gateway);
+    /** Ends upstream `index` for all gateways. */
+    void crash(std::size_t index);
+    void beginStop(std::size_t gateway);
+
+    /**
+     * Sends a request to a gateway. Its path selects the route: "/once/" must not run twice, "/safe/" may be repeated
+     * and "/stream/" are resumable streams.
+     */
+    std::shared_ptr<FleetCaller> send(std::size_t gateway, const std::string &id, const std::string &path,
+        const std::string &moreFields = {}, const std::string &deadlineMs = "4000");
+    /** Runs the event loop until `isDone` returns true; returns whether it did within `time`. */
+    bool runUntil(const std::function<bool()> &isDone, Milliseconds time = Milliseconds(5000));
+    void runFor(Milliseconds time);
+    /** Sends a request and waits for its answer. */
+    std::shared_ptr<FleetCaller> run(
+        std::size_t gateway, const std::string &id, const std::string &path, const std::string &moreFields = {});
+    [[nodiscard]] nlohmann::json status(std::size_t gateway);
+    /** Returns the addresses of callers that the directory of a gateway names, separated by spaces. */
+    [[nodiscard]] std::string callerAddresses(std::size_t gateway);
+    [[nodiscard]] std::string callerAddress(std::size_t gateway) const;
+    /** Returns the upstream of a gateway by the order in which the upstreams were added. */
+    [[nodiscard]] ScriptedUpstream &upstream(std::size_t gateway, std::size_t index);
+    /** Number of requests that upstreams received from a gateway. */
+    [[nodiscard]] std::size_t requestCount(std::size_t gateway) const;
+
+    eventloop::EventLoop loop;
+
+private:
+    struct Instance;
+
+    [[nodiscard]] std::string get(const std::string &address, const std::string &path);
+
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::vector<std::string> m_services;
+    std::vector<std::shared_ptr<FleetCaller>> m_callers;
+};
+
+} // namespace magnolia::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/partitiontests.cpp
@@ -0,0 +1,73 @@
+// Checks what callers get, and what peers are told, while instances are cut from all upstreams.
+#include "gatewayfixture.h"
+#include "gatewayfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace magnolia;
+using namespace magnolia::gateway;
+using namespace magnolia::gateway::tests;
+
+namespace
+{
+
+using Connection = ScriptedUpstream::Connection;
+
+constexpr std::size_t engineCount = 4;
+constexpr std::size_t serviceCount = 3;
+/** Several times the time in which instances tell each other of the end of an attempt. */
+constexpr Milliseconds noticeTime{30};
+
+void respond(Connection &connection, const std::string &request, int /*number*/)
+{
+    if (request.starts_with("POST /stream/")) {
+        connection.send(eventStreamHead(request) + eventChunk(1) + eventChunk(2) + "0\r\n\r\n");
+    } else {
+        connection.send(plainResponse(request, 200, "ok"));
+    }
+}
+
+void addUpstreams(GatewayFleet &fleet)
+{
+    for (std::size_t i = 0; i < engineCount; ++i) {
+        fleet.addUpstream("engine", respond);
+    }
+    for (std::size_t i = 0; i < serviceCount; ++i) {
+        fleet.addUpstream("app", respond);
+    }
+}
+
+std::string pathOf(int number)
+{
+    constexpr std::array<const char *, 3> paths{"/stream/x", "/once/x", "/safe/x"};
+    return paths[static_cast<std::size_t>(number) % paths.size()];
+}
+
+/** Sends requests of all kinds to a gateway one after the other; returns how many were served. */
+int countServed(GatewayFleet &fleet, std::size_t gateway, int count, const std::string &idPrefix)
+{
+    int served = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto caller = fleet.run(gateway, idPrefix + std::to_string(i), pathOf(i));
+        served += caller->status() == 200 ? 1 : 0;
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("callers of an instance that is cut from all upstreams are served")
+{
+    const Cut cut = GENERATE(Cut::Reset, Cut::Hanging, Cut::Refusing);
+    GatewayFleet fleet({"a", "a", "b"});
+    addUpstreams(fleet);
+    fleet.start();
+    REQUIRE(countServed(fleet, 0, 9, "before") == 9);
+    fleet.cut(0, cut);
+    // The first requests show that the upstreams cannot be reached.
+    countServed(fleet, 0, 3, "first");
+    constexpr int requestCount = 30;
+    CHECK(countServed(fleet, 0, requestCount, "cut") == requestCount);
+}
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -5,6 +5,10 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <array>
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 namespace magnolia::gateway::tests
 {
 
@@ -46,6 +50,9 @@
     }
     const std::string request = input.substr(0, headEnd + 4 + length);
     stream->input().erase(0, request.size());
+    if (m_upstream.m_isHanging) {
+        return;
+    }
     m_upstream.requests.push_back(request);
     m_upstream.m_script(*this, request, static_cast<int>(m_upstream.requests.size()) - 1);
 }
@@ -66,6 +73,7 @@
 {
     m_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
     m_socket.listen();
+    m_address = m_socket.address().toString();
     m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
 }
 
@@ -75,9 +83,40 @@
     m_socket.close();
 }
 
+void ScriptedUpstream::resumeListening()
+{
+    m_socket = Poco::Net::ServerSocket();
+    m_socket.bind(Poco::Net::SocketAddress(m_address), true);
+    m_socket.listen();
+    m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
+}
+
+void ScriptedUpstream::setHanging(bool isHanging)
+{
+    m_isHanging = isHanging;
+    const int fd = m_socket.impl()->sockfd();
+    if (!isHanging) {
+        const int unused = 0;
+        ::setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+        return;
+    }
+    // A filter that accepts no bytes drops the first packets of new connections.
+    std::array<sock_filter, 1> instructions{{{BPF_RET | BPF_K, 0, 0, 0}}};
+    const sock_fprog program{static_cast<unsigned short>(instructions.size()), instructions.data()};
+    ::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+void ScriptedUpstream::resetConnections()
+{
+    for (const auto &it : m_open) {
+        it->reset();
+    }
+    m_open.clear();
+}
+
 std::string ScriptedUpstream::address() const
 {
-    return m_socket.address().toString();
+    return m_address;
 }
 
 void ScriptedUpstream::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
--- a/src/gateway/tests/scriptedupstream.h
+++ b/src/gateway/tests/scriptedupstream.h
@@ -44,7 +44,13 @@
     ScriptedUpstream(eventloop::EventLoop &loop, Script script);
 
     void listen();
+    /** Closes the port, so that new connections are refused; open ones go on. */
     void stopListening();
+    /** Listens again at the address that it had. */
+    void resumeListening();
+    /** While hanging, neither new connections nor requests on open ones are answered. */
+    void setHanging(bool isHanging);
+    void resetConnections();
     [[nodiscard]] std::string address() const;
 
     void onReady(bool isReadable, bool isWritable, bool isBroken) override;
@@ -59,6 +65,8 @@
     eventloop::EventLoop &m_loop;
     Script m_script;
     Poco::Net::ServerSocket m_socket;
+    std::string m_address;
+    bool m_isHanging = false;
     std::vector<std::shared_ptr<Connection>> m_open;
 };
 
