Test: what a cut instance sees makes its peers leave upstreams out (fails, KNOWN-RED)

On this code the upstreams are left out or on trial at a peer of two cut instances, in all three ways of the cut.

--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -71,3 +71,23 @@
     constexpr int requestCount = 30;
     CHECK(countServed(fleet, 0, requestCount, "cut") == requestCount);
 }
+
+TEST_CASE("an instance that is cut from all upstreams does not make its peers leave them out")
+{
+    const Cut cut = GENERATE(Cut::Reset, Cut::Hanging, Cut::Refusing);
+    GatewayFleet fleet({"a", "a", "a"});
+    addUpstreams(fleet);
+    fleet.start();
+    fleet.cut(0, cut);
+    fleet.cut(1, cut);
+    for (int i = 0; i < 12; ++i) {
+        const auto first = fleet.send(0, "x" + std::to_string(i), pathOf(i));
+        fleet.run(1, "y" + std::to_string(i), pathOf(i));
+        fleet.runFor(noticeTime);
+        const nlohmann::json status = fleet.status(2);
+        for (const nlohmann::json &upstream : status["upstreams"]) {
+            INFO(upstream.dump());
+            REQUIRE(upstream["state"] == "live");
+        }
+    }
+}
