Test: a cut that resets connections is reported as crashes (fails, KNOWN-RED)

On this code two cut instances report 8 crashes of one engine that lives; reports of different engines would convict the requests in progress in the whole fleet.

--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -91,3 +91,40 @@
         }
     }
 }
+
+TEST_CASE("requests that are in progress when instances are cut from all upstreams are not refused elsewhere")
+{
+    GatewayFleet fleet({"a", "b", "c"});
+    std::vector<std::shared_ptr<Connection>> open;
+    bool isAnswering = false;
+    for (std::size_t i = 0; i < engineCount; ++i) {
+        fleet.addUpstream("engine", [&](Connection &connection, const std::string &request, int number) {
+            if (isAnswering) {
+                respond(connection, request, number);
+            } else {
+                open.push_back(connection.shared_from_this());
+            }
+        });
+    }
+    for (std::size_t i = 0; i < serviceCount; ++i) {
+        fleet.addUpstream("app", respond);
+    }
+    fleet.start();
+    const std::string fields = "Model: m\r\nTokens: 100,10\r\nPrompt-Parts: shared:90,";
+    for (int i = 0; i < 4; ++i) {
+        for (const std::size_t gateway : {0, 1}) {
+            const std::string id = "g" + std::to_string(gateway) + "n" + std::to_string(i);
+            fleet.send(gateway, id, "/stream/x", fields + id + ":10\r\n");
+        }
+    }
+    fleet.runUntil([&] {
+        return open.size() == 8;
+    });
+    fleet.runFor(Milliseconds(100));
+    isAnswering = true;
+    fleet.cut(0, Cut::Reset);
+    fleet.cut(1, Cut::Reset);
+    fleet.runFor(Milliseconds(400));
+    CHECK(fleet.status(2)["crash_reports"] == 0);
+    CHECK(fleet.run(2, "later", "/stream/x", fields + "later:10\r\n")->status() == 200);
+}
