--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -213,7 +213,8 @@
         const bool isInOwnDataCentre
             = peer != context.fleet->table().peers().end() && peer->second.dataCentre == settings.dataCentre.value();
         if (isInOwnDataCentre && it.outcome <= static_cast<std::uint8_t>(outliers::AttemptOutcome::Refused)) {
-            recordAttemptOutcome(context, it.upstream, static_cast<outliers::AttemptOutcome>(it.outcome));
+            recordAttemptOutcome(
+                context, it.upstream, static_cast<outliers::AttemptOutcome>(it.outcome), message.instance);
         }
     }
 }
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -1,6 +1,7 @@
 // State that the requests of one instance share.
 #include "gateway/internal/gatewaycontext.h"
 
+#include "framework/logging/log.h"
 #include "gateway/internal/crashmonitor.h"
 #include "placement/enginecost.h"
 
@@ -123,13 +124,21 @@
     return static_cast<int>(it->second.count * share);
 }
 
-void recordAttemptOutcome(
-    GatewayContext &context, placement::UpstreamKey upstream, outliers::AttemptOutcome attemptOutcome)
+void recordAttemptOutcome(GatewayContext &context, placement::UpstreamKey upstream,
+    outliers::AttemptOutcome attemptOutcome, std::string_view toldBy)
 {
     const KnownUpstream *knownUpstream = context.upstreams.find(upstream);
     const double othersFailureShare
         = knownUpstream == nullptr ? 0 : failureShareOfOthers(context, knownUpstream->entry.service, upstream);
-    context.outliers.recordOutcome(upstream, attemptOutcome, othersFailureShare, context.loop.now());
+    const MonoTime now = context.loop.now();
+    const bool wasExcluded = context.outliers.isExcluded(upstream, now);
+    context.outliers.recordOutcome(upstream, attemptOutcome, othersFailureShare, now);
+    if (!wasExcluded && context.outliers.isExcluded(upstream, now)) {
+        logging::write(logging::Level::Info, "gateway", "upstream_left_out",
+            {{"upstream", std::string_view(context.upstreams.idOf(upstream))}, {"told_by", toldBy},
+                {"reason", attemptOutcome == outliers::AttemptOutcome::Unreachable ? "unreachable" : "failures"},
+                {"others_failure_share", othersFailureShare}});
+    }
 }
 
 } // namespace magnolia::gateway
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace magnolia::gateway
@@ -84,8 +85,12 @@
 /** Removes the records of upstreams, routes and services that are no longer published. */
 void forgetUnpublished(GatewayContext &context);
 
-/** Records the outcome of an attempt as evidence about the upstream's health. */
-void recordAttemptOutcome(
-    GatewayContext &context, placement::UpstreamKey upstream, outliers::AttemptOutcome attemptOutcome);
+/** Source of evidence that this instance has gathered itself. */
+inline constexpr std::string_view ownEvidence = "self";
+
+/** Records the outcome of an attempt as evidence about the upstream's health. `toldBy` is `ownEvidence` or the peer that
+ * made the attempt. */
+void recordAttemptOutcome(GatewayContext &context, placement::UpstreamKey upstream,
+    outliers::AttemptOutcome attemptOutcome, std::string_view toldBy = ownEvidence);
 
 } // namespace magnolia::gateway
