Gateway: a cut instance no longer makes its peers leave out upstreams

Cause: the outcome of every attempt was told to the peers of the data centre, who counted it as if they had seen it, and what a cut instance sees of upstreams is about itself; with most of a data centre cut it outweighed all else. The class is that of differential observability: a local fault reported as a remote one.

A failure of a connection now counts at once at the instance itself, and is told to peers only when it is confirmed: another upstream was reached, and the failed one again not. During a partition, and for attempts that overlap one, nothing is recorded or told, and what was left out without confirmation is used again. A refused probe no longer ends a silent stream while the path refuses all new connections, since open ones may live on. Answers of upstreams with bad content count as before.

--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -45,6 +45,8 @@
     void announceDecoding(std::uint64_t id);
     /** Announces the end of a placement within `batchDelay`. */
     void announceEnd(const PlacementEnd &end);
+    /** Announces within `batchDelay` evidence about an upstream that was confirmed after the end of its placement. */
+    void announceEvidence(std::uint64_t upstream, std::uint8_t outcome);
     /** Tells all live peers that an upstream is leaving. */
     void announceLeaving(const LeavingUpstream &upstream);
     /** Tells all live peers that an upstream has named, changed or ended its limit. */
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -322,6 +322,11 @@
     scheduleBatch();
 }
 
+void FleetLink::announceEvidence(std::uint64_t upstream, std::uint8_t outcome)
+{
+    announceEnd({PlacementEnd::noPlacement, upstream, outcome});
+}
+
 void FleetLink::announceLeaving(const LeavingUpstream &upstream)
 {
     PeerMessage message = makeMessage();
--- a/src/fleet/types/peermessage.h
+++ b/src/fleet/types/peermessage.h
@@ -46,6 +46,8 @@
     std::uint8_t outcome = 0;
 
     static constexpr std::uint8_t noOutcome = 255;
+    /** Id of an end that only carries evidence. */
+    static constexpr std::uint64_t noPlacement = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -7,6 +7,7 @@
 #include "framework/eventloop/eventloop.h"
 #include "gateway/internal/attempthistory.h"
 #include "gateway/internal/iupstreamcalllistener.h"
+#include "gateway/internal/reachabilityprobe.h"
 #include "gateway/irequesthandler.h"
 #include "outliers/types/attemptoutcome.h"
 #include "placement/types/decision.h"
@@ -84,7 +85,10 @@
     void forwardResponse();
     void onTimeout();
     void checkSilence();
-    void onReachabilityProbed(std::uint64_t attempt, bool isReached);
+    /** Whether attempt number `attempt` goes on and its upstream has sent nothing for some time. */
+    [[nodiscard]] bool isStillSilent(std::uint64_t attempt) const;
+    void onReachabilityProbed(std::uint64_t attempt, Reachability reachability);
+    void onPathConfirmed(std::uint64_t attempt, Reachability reachability, bool isPathSound);
     void respondWithError(int status, std::string_view reason, std::optional<Milliseconds> retryAfter);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
     [[nodiscard]] bool isStream() const;
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -6,8 +6,8 @@
 #include "gateway/internal/exchangelimits.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/memoryreservation.h"
+#include "gateway/internal/pathmonitor.h"
 #include "gateway/internal/promptparts.h"
-#include "gateway/internal/reachabilityprobe.h"
 #include "gateway/internal/retryafter.h"
 #include "gateway/internal/upstreamcall.h"
 #include "gateway/iresponsewriter.h"
@@ -60,14 +60,18 @@
     }
     switch (failure) {
     case CallFailure::NotConnected:
-        endAttempt(outliers::AttemptOutcome::Unreachable);
+        endAttempt(std::nullopt);
+        m_context.path->reportFailure(m_decision.primary, outliers::AttemptOutcome::Unreachable, m_sentAt);
         break;
     case CallFailure::Stale:
         endAttempt(std::nullopt);
         break;
     case CallFailure::Broken:
-    case CallFailure::Malformed:
     case CallFailure::Abandoned:
+        endAttempt(std::nullopt);
+        m_context.path->reportFailure(m_decision.primary, outliers::AttemptOutcome::Failed, m_sentAt);
+        break;
+    case CallFailure::Malformed:
         endAttempt(outliers::AttemptOutcome::Failed);
         break;
     }
@@ -219,23 +223,43 @@
     if (silence > probeAfter && !m_isProbing && m_context.loop.now() - m_probedAt > minProbeInterval) {
         m_isProbing = true;
         m_probedAt = m_context.loop.now();
-        ReachabilityProbe::run(m_context.loop, m_upstreamCall->address(),
-            [weak = weak_from_this(), attempt = m_attemptNumber](Reachability reachability) {
+        m_context.path->probe(
+            m_decision.primary, [weak = weak_from_this(), attempt = m_attemptNumber](Reachability reachability) {
                 if (const auto self = weak.lock()) {
-                    self->onReachabilityProbed(attempt, reachability == Reachability::Reached);
+                    self->onReachabilityProbed(attempt, reachability);
                 }
             });
     }
 }
 
-void Exchange::onReachabilityProbed(std::uint64_t attempt, bool isReached)
+bool Exchange::isStillSilent(std::uint64_t attempt) const
+{
+    return !m_isDone && m_upstreamCall && attempt == m_attemptNumber
+        && m_context.loop.now() - m_lastProgressAt > minSilenceBeforeProbe;
+}
+
+void Exchange::onReachabilityProbed(std::uint64_t attempt, Reachability reachability)
 {
     m_isProbing = false;
-    const bool isStillSilent = m_context.loop.now() - m_lastProgressAt > minSilenceBeforeProbe;
-    if (m_isDone || !m_upstreamCall || attempt != m_attemptNumber || isReached || !isStillSilent) {
+    if (!isStillSilent(attempt) || reachability == Reachability::Reached) {
         return;
     }
-    recordAttemptOutcome(m_context, m_decision.primary, outliers::AttemptOutcome::Unreachable);
+    m_context.path->confirmPath(m_decision.primary, [weak = weak_from_this(), attempt, reachability](bool isPathSound) {
+        if (const auto self = weak.lock()) {
+            self->onPathConfirmed(attempt, reachability, isPathSound);
+        }
+    });
+}
+
+void Exchange::onPathConfirmed(std::uint64_t attempt, Reachability reachability, bool isPathSound)
+{
+    // Open connections may go on while the path refuses new ones.
+    if (!isStillSilent(attempt) || (!isPathSound && reachability == Reachability::Refused)) {
+        return;
+    }
+    if (isPathSound) {
+        recordAttemptOutcome(m_context, m_decision.primary, outliers::AttemptOutcome::Unreachable);
+    }
     // Silence alone does not end an attempt: if the request cannot continue elsewhere, the attempt goes on until its
     // connection ends.
     if (!canSwitchUpstream()) {
--- a/src/gateway/internal/pathmonitor.cpp
+++ b/src/gateway/internal/pathmonitor.cpp
@@ -17,6 +17,8 @@
 
 /** Probes of each round. New connections have a price, and the first one mostly reaches its upstream. */
 constexpr std::array<std::size_t, 3> probesPerRound{1, 4, 4};
+/** Several round trips between any two data centres. */
+constexpr Milliseconds maxRoundTripTime{50};
 
 } // namespace
 
@@ -90,10 +92,56 @@
         failed.push_back(m_context.upstreams.idOf(it));
     }
     logging::write(logging::Level::Warning, "gateway", "upstreams_unreachable", {{"failed", failed}});
+    for (const placement::UpstreamKey it : std::exchange(m_unconfirmed, {})) {
+        m_context.outliers.forget(it);
+    }
     answerWaiters(false);
     probeWhilePartitioned();
 }
 
+void PathMonitor::reportFailure(placement::UpstreamKey upstream, outliers::AttemptOutcome outcome, MonoTime sentAt)
+{
+    const bool isUnreachable = outcome == outliers::AttemptOutcome::Unreachable;
+    if (isUnreachable) {
+        onConnectFailed(upstream, sentAt);
+    }
+    // During a partition a failure tells nothing about its upstream.
+    if (m_detector.wasPartitionedSince(sentAt)) {
+        return;
+    }
+    recordAttemptOutcome(m_context, upstream, outcome);
+    m_unconfirmed.insert(upstream);
+    if (isUnreachable && m_detector.lastSuccessAt() >= sentAt + maxRoundTripTime) {
+        // The path was sound while the upstream did not answer.
+        concludeFailure(PathFinding::UpstreamFailed, upstream, outcome, sentAt);
+        return;
+    }
+    if (isUnreachable) {
+        investigate(upstream, [this, upstream, outcome, sentAt](PathFinding finding, Reachability) {
+            concludeFailure(finding, upstream, outcome, sentAt);
+        });
+        return;
+    }
+    confirmPath(upstream, [this, upstream, outcome, sentAt](bool isSound) {
+        concludeFailure(isSound ? PathFinding::UpstreamFailed : PathFinding::PathFailed, upstream, outcome, sentAt);
+    });
+}
+
+void PathMonitor::concludeFailure(
+    PathFinding finding, placement::UpstreamKey upstream, outliers::AttemptOutcome outcome, MonoTime sentAt)
+{
+    const bool isUnconfirmed = m_unconfirmed.erase(upstream) > 0;
+    if (finding == PathFinding::PathFailed) {
+        if (isUnconfirmed) {
+            m_context.outliers.forget(upstream);
+        }
+        return;
+    }
+    if (finding == PathFinding::UpstreamFailed && !m_detector.wasPartitionedSince(sentAt)) {
+        m_context.fleet->announceEvidence(upstream, static_cast<std::uint8_t>(outcome));
+    }
+}
+
 void PathMonitor::probeWhilePartitioned()
 {
     m_context.loop.after(m_detector.probeInterval(), [this, alive = std::weak_ptr<bool>(m_alive)] {
--- a/src/gateway/internal/pathmonitor.h
+++ b/src/gateway/internal/pathmonitor.h
@@ -7,6 +7,7 @@
 
 #include "framework/eventloop/eventloop.h"
 #include "gateway/internal/reachabilityprobe.h"
+#include "outliers/types/attemptoutcome.h"
 #include "placement/types/placement.h"
 #include "reachability/partitiondetector.h"
 
@@ -14,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace magnolia::gateway
@@ -39,6 +41,12 @@
     /** Call it when a connection to an upstream that was begun at `startedAt` was not established. */
     void onConnectFailed(placement::UpstreamKey upstream, MonoTime startedAt);
 
+    /**
+     * Records that an attempt that was sent at `sentAt` failed because of its connection. The failure counts here at
+     * once and is told to peers when it is confirmed; it is forgotten if the path has failed.
+     */
+    void reportFailure(placement::UpstreamKey upstream, outliers::AttemptOutcome outcome, MonoTime sentAt);
+
     /** Probes an upstream and calls `done` once. */
     void probe(placement::UpstreamKey upstream, std::function<void(Reachability)> done);
     /** Calls `done` once, with whether an upstream other than `except` was reached after the call. */
@@ -66,10 +74,14 @@
     void finishRound(std::size_t round);
     /** Answers all that wait for a confirmation. */
     void answerWaiters(bool isSound);
+    void concludeFailure(
+        PathFinding finding, placement::UpstreamKey upstream, outliers::AttemptOutcome outcome, MonoTime sentAt);
 
     GatewayContext &m_context;
     reachability::PartitionDetector m_detector;
     std::optional<std::uint64_t> m_upstreamsGeneration;
+    // Upstreams that are left out here by failures that are not confirmed yet.
+    std::set<placement::UpstreamKey> m_unconfirmed;
     std::vector<Waiter> m_waiters;
     // Probes of the current round without a result. Invariant: above 0 only while `m_isRoundActive`.
     std::size_t m_openProbes = 0;
