Soak: gateways that are cut from all upstreams

Judged: callers of cut gateways are served nearly as often as others (the users' bounds). The upstreams also know now which gateway sent a request, as a relayed one does not come from the gateway that its caller asked.

--- a/src/framework/eventloop/eventloop.h
+++ b/src/framework/eventloop/eventloop.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +53,10 @@
     /** Calls `task` before the loop waits again; for work that must not run inside the current call. */
     void defer(std::function<void()> task);
 
+    /** Sets the IP address from which new connections leave; if it is empty, the system chooses one. */
+    void setSourceAddress(std::string ip);
+    [[nodiscard]] const std::string &sourceAddress() const;
+
     /** Returns the time at which the current round of callbacks began. */
     [[nodiscard]] MonoTime now() const;
     /** Reads the clock. */
@@ -89,6 +94,7 @@
     std::vector<Timer> m_timers;
     std::unordered_map<TimerId, std::function<void()>> m_timerTasks;
     std::vector<std::function<void()>> m_deferredTasks;
+    std::string m_sourceAddress;
 };
 
 } // namespace magnolia::eventloop
--- a/src/framework/eventloop/internal/eventloop.cpp
+++ b/src/framework/eventloop/internal/eventloop.cpp
@@ -59,6 +59,16 @@
         std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec)));
 }
 
+void EventLoop::setSourceAddress(std::string ip)
+{
+    m_sourceAddress = std::move(ip);
+}
+
+const std::string &EventLoop::sourceAddress() const
+{
+    return m_sourceAddress;
+}
+
 MonoTime EventLoop::now() const
 {
     return m_now;
--- a/src/framework/eventloop/internal/tcpstream.cpp
+++ b/src/framework/eventloop/internal/tcpstream.cpp
@@ -22,12 +22,15 @@
 
 } // namespace
 
-std::shared_ptr<TcpStream> TcpStream::connect(
-    EventLoop &loop, const std::string &address, ITcpStreamListener &listener, const TcpTimeouts &timeouts)
+std::shared_ptr<TcpStream> TcpStream::connect(EventLoop &loop, const std::string &address, ITcpStreamListener &listener,
+    const TcpTimeouts &timeouts, const std::string &sourceIp)
 {
     auto stream = std::make_shared<TcpStream>(loop, Poco::Net::StreamSocket());
     stream->m_listener = &listener;
     try {
+        if (const std::string &source = sourceIp.empty() ? loop.sourceAddress() : sourceIp; !source.empty()) {
+            stream->bindTo(source);
+        }
         stream->m_socket.connectNB(Poco::Net::SocketAddress(address));
     } catch (const Poco::Exception &ex) {
         stream->m_isRefused = dynamic_cast<const Poco::Net::ConnectionRefusedException *>(&ex) != nullptr;
@@ -69,6 +72,14 @@
     close();
 }
 
+void TcpStream::bindTo(const std::string &sourceIp)
+{
+    m_socket = Poco::Net::StreamSocket(Poco::Net::SocketAddress::IPv4);
+    // The port is chosen when the connection is made, so that connections to different addresses can share one.
+    m_socket.setOption(IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+    m_socket.impl()->bind(Poco::Net::SocketAddress(sourceIp, 0), false);
+}
+
 void TcpStream::setTimeouts(const TcpTimeouts &timeouts)
 {
     try {
@@ -177,6 +188,15 @@
     return m_fd >= 0 && !m_isEnded;
 }
 
+std::string TcpStream::peerIp() const
+{
+    try {
+        return m_socket.peerAddress().host().toString();
+    } catch (const Poco::Exception &) {
+        return {};
+    }
+}
+
 bool TcpStream::hasInputOrEnd()
 {
     if (!isOpen() || !m_input.empty()) {
--- a/src/framework/eventloop/tcpstream.h
+++ b/src/framework/eventloop/tcpstream.h
@@ -28,9 +28,10 @@
 class TcpStream : public IReadinessHandler, public std::enable_shared_from_this<TcpStream>
 {
 public:
-    /** Starts to connect to `address` (IP:PORT); reports the result to `listener`, which must outlive the stream. */
-    [[nodiscard]] static std::shared_ptr<TcpStream> connect(
-        EventLoop &loop, const std::string &address, ITcpStreamListener &listener, const TcpTimeouts &timeouts);
+    /** Starts to connect to `address` (IP:PORT); reports the result to `listener`, which must outlive the stream. The
+     * connection leaves from `sourceIp` or, if that is empty, from the source address of the loop. */
+    [[nodiscard]] static std::shared_ptr<TcpStream> connect(EventLoop &loop, const std::string &address,
+        ITcpStreamListener &listener, const TcpTimeouts &timeouts, const std::string &sourceIp = {});
     /** Takes over an accepted socket. */
     [[nodiscard]] static std::shared_ptr<TcpStream> adopt(EventLoop &loop, const Poco::Net::StreamSocket &socket,
         ITcpStreamListener &listener, const TcpTimeouts &timeouts);
@@ -59,12 +60,16 @@
     /** Whether the peer's host refused the connection because nothing listens at the address. */
     [[nodiscard]] bool isRefused() const;
     [[nodiscard]] bool isOpen() const;
+    /** Returns the IP address of the other end; empty if the connection has ended. */
+    [[nodiscard]] std::string peerIp() const;
     /** Whether the peer has sent bytes or closed the connection; for an idle connection before its reuse. */
     [[nodiscard]] bool hasInputOrEnd();
 
     void onReady(bool isReadable, bool isWritable, bool isBroken) override;
 
 private:
+    /** Makes the connection leave from `sourceIp`; call it before connecting. Throws exceptions of Poco. */
+    void bindTo(const std::string &sourceIp);
     void setTimeouts(const TcpTimeouts &timeouts);
     void readAll();
     void flush();
--- a/tests/soak/gatewayprocess.cpp
+++ b/tests/soak/gatewayprocess.cpp
@@ -14,7 +14,8 @@
 constexpr int readinessOffset = 1;
 constexpr int directoryOffset = 2;
 constexpr int peerOffset = 3;
-constexpr int metricsOffset = 4;
+// The port after that of the peers takes relayed requests.
+constexpr int metricsOffset = 5;
 
 } // namespace
 
@@ -33,8 +34,8 @@
     const nlohmann::json settings{{"NodeName", m_options.name}, {"Zone", m_options.zone}, {"Region", "r"},
         {"Ip", m_options.ip},
         {"Listen", {{"Front", callerAddress()}, {"Readiness", readinessAddress()}, {"Directory", directoryAddress()}}},
-        {"InternalPortRange", {m_options.firstPort + peerOffset, m_options.firstPort + peerOffset}}, {"Seeds", seeds},
-        {"Limits", {{"MaxFds", 4000}}},
+        {"InternalPortRange", {m_options.firstPort + peerOffset, m_options.firstPort + peerOffset + 1}},
+        {"Seeds", seeds}, {"Limits", {{"MaxFds", 4000}}},
         {"Bounds", {{"GraceS", 8}, {"RetryBudgetRatio", 0.2}, {"BudgetSlack", 100}, {"HoldMaxMs", 20'000}}},
         {"Platform", {{"Address", m_options.storeAddress}}}};
     std::ofstream(m_options.workDirectory / (m_options.name + ".json")) << settings;
@@ -47,10 +48,15 @@
     isStopping = false;
     m_process = std::make_unique<sessions::ChildProcess>(m_options.binary,
         std::vector<std::string>{"platform", "--settings", m_options.workDirectory / (m_options.name + ".json"),
-            "--metrics-port", std::to_string(m_options.firstPort + metricsOffset)},
+            "--metrics-port", std::to_string(m_options.firstPort + metricsOffset), "--source-address", m_options.ip},
         m_options.workDirectory / (m_options.name + ".err"), m_options.workDirectory / (m_options.name + ".log"));
 }
 
+const std::string &GatewayProcess::ip() const
+{
+    return m_options.ip;
+}
+
 void GatewayProcess::sendSignal(int signal)
 {
     m_process->sendSignal(signal);
--- a/tests/soak/gatewayprocess.h
+++ b/tests/soak/gatewayprocess.h
@@ -21,7 +21,7 @@
         std::string name;
         std::string zone;
         std::string ip;
-        /** First of five consecutive free ports: callers, readiness, directory, peers, metrics. */
+        /** First of six consecutive free ports: callers, readiness, directory, peers, relayed requests, metrics. */
         int firstPort = 0;
         std::string storeAddress;
         std::vector<std::string> seedIps;
@@ -34,6 +34,8 @@
     [[nodiscard]] bool isRunning();
     /** Returns the instance name and the number of its current start, for example "g2#1". */
     [[nodiscard]] std::string processName() const;
+    /** Returns the IP address from which the connections of the process leave. */
+    [[nodiscard]] const std::string &ip() const;
     [[nodiscard]] std::string callerAddress() const;
     [[nodiscard]] std::string readinessAddress() const;
     [[nodiscard]] std::string directoryAddress() const;
--- a/tests/soak/httpserving.cpp
+++ b/tests/soak/httpserving.cpp
@@ -59,6 +59,11 @@
     }
 }
 
+std::string ServedConnection::peerIp() const
+{
+    return m_stream->peerIp();
+}
+
 bool ServedConnection::isOpen() const
 {
     return m_stream && m_stream->isOpen();
--- a/tests/soak/httpserving.h
+++ b/tests/soak/httpserving.h
@@ -39,6 +39,7 @@
     void finishResponse();
     void reset();
     [[nodiscard]] bool isOpen() const;
+    [[nodiscard]] std::string peerIp() const;
 
     void onInput() override;
     void onEnd(eventloop::StreamEnd end) override;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -21,6 +21,11 @@
 /** Requests that were under way when their gateway was turned away arrive within this time (documented limit). */
 constexpr Milliseconds turnAwayDelay{500};
 constexpr int maxArrivalsTurnedAway = 2;
+/** Time from the begin of a cut after which a gateway serves its callers through others, and the failures that are
+ * allowed beyond one in `cutFailureDivisor` requests (documented limits). */
+constexpr Milliseconds cutContactTime{3000};
+constexpr int minCutFailures = 10;
+constexpr int cutFailureDivisor = 50;
 /** Time from the last crash that shows a trigger until the gateways have to know it (documented limit). */
 constexpr Milliseconds triggerContactTime{3000};
 /** Requests with a known trigger that may still reach upstreams (documented limit). */
@@ -126,23 +131,67 @@
     }
 }
 
-void Ledger::recordTurnedAway(const std::string &id, const std::string &upstream, MonoTime at, Milliseconds time)
+void Ledger::recordTurnedAway(const std::string &upstream, const std::string &process, MonoTime at, Milliseconds time)
 {
-    TurnedAway &it = m_turnedAway[{upstream, record(id).process}];
+    TurnedAway &it = m_turnedAway[{upstream, process}];
     if (at >= it.until) {
         it = {at + turnAwayDelay, at + time, 0};
     }
 }
 
-void Ledger::checkTurnedAway(const std::string &id, const std::string &upstream, MonoTime now)
+void Ledger::checkTurnedAway(
+    const std::string &id, const std::string &upstream, const std::string &process, MonoTime now)
 {
-    const auto found = m_turnedAway.find({upstream, record(id).process});
+    const auto found = m_turnedAway.find({upstream, process});
     if (found == m_turnedAway.end() || now < found->second.from || now >= found->second.until) {
         return;
     }
     if (m_hasTimedChecks && now >= m_disruptedUntil && ++found->second.arrivalCount > maxArrivalsTurnedAway) {
         addViolation("retry after", id,
-            upstream + " received a request from " + record(id).process + " in the time for which it wanted none");
+            upstream + " received a request from " + process + " in the time for which it wanted none");
+    }
+}
+
+void Ledger::recordCut(const std::string &process, MonoTime from, MonoTime until)
+{
+    m_cuts.push_back({process, from, until});
+}
+
+void Ledger::checkCuts()
+{
+    int cutCount = 0;
+    int cutServedCount = 0;
+    int otherCount = 0;
+    int otherServedCount = 0;
+    for (const auto &[id, it] : m_records) {
+        if (it.isAbandoned || it.hasUpstreamFault) {
+            continue;
+        }
+        bool isDuringCut = false;
+        bool isAtCutGateway = false;
+        bool isCounted = true;
+        for (const Cut &cut : m_cuts) {
+            const bool isDuring = it.sentAt >= cut.from + cutContactTime && it.sentAt < cut.until;
+            isDuringCut = isDuringCut || isDuring;
+            if (cut.process == it.process) {
+                isAtCutGateway = isAtCutGateway || isDuring;
+                // The gateway may not know of its cut yet, or not of its end.
+                isCounted = isCounted && (isDuring || it.sentAt < cut.from || it.sentAt >= cut.until);
+            }
+        }
+        if (!isDuringCut || !isCounted) {
+            continue;
+        }
+        const bool isServed = it.status == 200 && it.isComplete;
+        (isAtCutGateway ? cutCount : otherCount) += 1;
+        (isAtCutGateway ? cutServedCount : otherServedCount) += isServed ? 1 : 0;
+    }
+    const int maxFailures = minCutFailures + (cutCount + otherCount) / cutFailureDivisor;
+    if (cutCount - cutServedCount > maxFailures && 3 * cutServedCount * otherCount < 2 * otherServedCount * cutCount) {
+        addViolation("served during a cut", {},
+            std::to_string(cutServedCount) + " of " + std::to_string(cutCount)
+                + " requests were served at cut gateways, " + std::to_string(otherServedCount) + " of "
+                + std::to_string(otherCount) + " at others");
     }
 }
 
@@ -223,6 +272,9 @@
         checkInterruption(it);
     }
     checkConfigurationVersions();
+    if (m_hasTimedChecks) {
+        checkCuts();
+    }
 }
 
 const std::vector<Violation> &Ledger::violations() const
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -78,10 +78,12 @@
     void recordLimit(const std::string &upstream, std::optional<double> requestsPerSecond, MonoTime at);
     /** Checks, when a request arrives at `upstream`, that the gateways keep its limit. */
     void checkLimit(const std::string &id, const std::string &upstream, MonoTime now);
-    /** Records that `upstream` has refused request `id` and wants nothing from its gateway for `time`. */
-    void recordTurnedAway(const std::string &id, const std::string &upstream, MonoTime at, Milliseconds time);
-    /** Checks, when a request arrives at `upstream`, that its gateway was not turned away. */
-    void checkTurnedAway(const std::string &id, const std::string &upstream, MonoTime now);
+    /** Records that `upstream` has refused a request of gateway `process` and wants nothing from it for `time`. */
+    void recordTurnedAway(const std::string &upstream, const std::string &process, MonoTime at, Milliseconds time);
+    /** Checks, when a request arrives at `upstream` from gateway `process`, that this was not turned away. */
+    void checkTurnedAway(const std::string &id, const std::string &upstream, const std::string &process, MonoTime now);
+    /** Records that gateway `process` is cut from all upstreams. */
+    void recordCut(const std::string &process, MonoTime from, MonoTime until);
     /** Declares what crashes each upstream that begins on it; after `maxCrashCount` crashes it is known. */
     void addCrashTrigger(const std::string &trigger, int maxCrashCount);
     void recordCrash(const std::string &trigger, MonoTime at);
@@ -109,6 +111,8 @@
     void checkExecutions(const RequestRecord &it);
     void checkInterruption(const RequestRecord &it);
     void checkConfigurationVersions();
+    /** Callers of gateways that are cut from all upstreams are served nearly as often as others. */
+    void checkCuts();
     [[nodiscard]] bool isWithinPlannedPhase(const RequestRecord &it) const;
 
     bool m_hasTimedChecks;
@@ -136,7 +140,15 @@
         int lateArrivalCount = 0;
     };
 
+    struct Cut
+    {
+        std::string process;
+        MonoTime from{};
+        MonoTime until{};
+    };
+
     std::map<std::string, Limit> m_limits;
+    std::vector<Cut> m_cuts;
     std::map<std::string, CrashTrigger> m_crashTriggers;
     // By upstream and gateway process.
     std::map<std::pair<std::string, std::string>, TurnedAway> m_turnedAway;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -16,6 +16,10 @@
 constexpr double crashProbability = 0.5;
 /** Separates the draws of crashing requests from those of the other faults. */
 constexpr std::uint64_t crashSeed = 0x6372617368ULL;
+constexpr std::uint64_t cutSeed = 0x637574ULL;
+constexpr std::uint64_t maxCuts = 2;
+constexpr Milliseconds minCutDuration{1000};
+constexpr std::uint64_t maxExtraCutMs = 6000;
 
 } // namespace
 
@@ -76,6 +80,8 @@
         return "prompts with one part crash their engines";
     case Action::CrashingRequest:
         return "a request that comes again crashes its upstreams";
+    case Action::CutGateways:
+        return "gateways are cut from all upstreams";
     }
     return "unknown";
 }
@@ -111,6 +117,13 @@
                 parameters.faultPhaseDuration, action, crashRandom.next()});
         }
     }
+    Random cutRandom(parameters.seed ^ cutSeed);
+    const std::uint64_t cutCount = cutRandom.below(maxCuts + 1);
+    for (std::uint64_t i = 0; i < cutCount; ++i) {
+        const auto faultPhaseMs = static_cast<std::uint64_t>(parameters.faultPhaseDuration.count());
+        plan.push_back({parameters.plannedPhaseDuration + Milliseconds(cutRandom.below(faultPhaseMs)),
+            minCutDuration + Milliseconds(cutRandom.below(maxExtraCutMs)), Action::CutGateways, cutRandom.next()});
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) {
         return a.at < b.at;
     });
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -42,6 +42,7 @@
     // Drawn apart from the others, so that the plan of a seed has the same other faults as before.
     CrashingPart,
     CrashingRequest,
+    CutGateways,
 };
 
 [[nodiscard]] std::string_view toString(Action action);
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -7,7 +7,11 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <cstdint>
 #include <functional>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 namespace magnolia::soak
 {
@@ -24,10 +28,24 @@
 
     void start(eventloop::EventLoop &loop, const Poco::Net::StreamSocket &socket, const std::string &target)
     {
-        m_targetSide.stream = eventloop::TcpStream::connect(loop, target, m_targetSide, {});
+        m_clientIp = socket.peerAddress().host().toString();
+        // The target sees the address of the client.
+        m_targetSide.stream = eventloop::TcpStream::connect(loop, target, m_targetSide, {}, m_clientIp);
         m_clientSide.stream = eventloop::TcpStream::adopt(loop, socket, m_clientSide, {});
     }
 
+    [[nodiscard]] const std::string &clientIp() const
+    {
+        return m_clientIp;
+    }
+
+    /** From now on nothing is forwarded in either direction, nor is the end of the connection. */
+    void hang()
+    {
+        m_clientSide.isDropping = true;
+        m_targetSide.isDropping = true;
+    }
+
     void reset()
     {
         m_isClosed = true;
@@ -127,6 +145,7 @@
     }
 
     std::weak_ptr<Proxy> m_proxy;
+    std::string m_clientIp;
     Side m_clientSide;
     Side m_targetSide;
     bool m_isClosed = false;
@@ -146,6 +165,7 @@
     m_socket->setBlocking(false);
     m_address = m_socket->address().toString();
     m_loop.add(m_socket->impl()->sockfd(), shared_from_this(), {true, false});
+    updateFilter();
 }
 
 void Proxy::stopListening()
@@ -182,6 +202,48 @@
     }
 }
 
+void Proxy::setClientCut(const std::string &ip, std::optional<ClientCut> cut)
+{
+    if (cut) {
+        m_clientCuts[ip] = *cut;
+    } else {
+        m_clientCuts.erase(ip);
+    }
+    updateFilter();
+    const auto connections = m_connections;
+    for (const auto &it : connections) {
+        if (it->clientIp() != ip) {
+            continue;
+        }
+        if (cut == ClientCut::Hanging) {
+            it->hang();
+        } else if (cut == ClientCut::Reset) {
+            it->reset();
+            std::erase(m_connections, it);
+        }
+    }
+}
+
+void Proxy::updateFilter()
+{
+    if (!m_socket) {
+        return;
+    }
+    constexpr std::uint32_t sourceOffset = 12;
+    std::vector<sock_filter> program{
+        {BPF_LD | BPF_W | BPF_ABS, 0, 0, static_cast<std::uint32_t>(SKF_NET_OFF) + sourceOffset}};
+    for (const auto &[ip, cut] : m_clientCuts) {
+        if (cut == ClientCut::Hanging) {
+            const std::uint32_t source = ntohl(inet_addr(ip.c_str()));
+            program.push_back({BPF_JMP | BPF_JEQ | BPF_K, 0, 1, source});
+            program.push_back({BPF_RET | BPF_K, 0, 0, 0});
+        }
+    }
+    program.push_back({BPF_RET | BPF_K, 0, 0, UINT32_MAX});
+    const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+    ::setsockopt(m_socket->impl()->sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
 std::string Proxy::address() const
 {
     return m_address;
@@ -191,7 +253,7 @@
 {
     try {
         Poco::Net::StreamSocket socket = m_socket->acceptConnection();
-        if (m_fault.isRefusing) {
+        if (m_fault.isRefusing || m_clientCuts.contains(socket.peerAddress().host().toString())) {
             socket.setLinger(true, 0);
             socket.close();
             return;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -6,7 +6,9 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,16 @@
     }
 };
 
+/** How a client that is cut off sees the proxy. */
+enum class ClientCut {
+    /** Neither open nor new connections are answered. */
+    Hanging,
+    /** Open connections are reset, new ones too as soon as they are accepted. */
+    Reset,
+    /** Open connections go on; new ones are reset as soon as they are accepted. */
+    Refusing,
+};
+
 class Proxy : public eventloop::IReadinessHandler, public std::enable_shared_from_this<Proxy>
 {
 public:
@@ -45,6 +57,8 @@
     void setTarget(const std::string &target);
     void setFault(const LinkFault &fault);
     void resetAll();
+    /** Cuts off the client with address `ip`, or ends its cut. */
+    void setClientCut(const std::string &ip, std::optional<ClientCut> cut);
     [[nodiscard]] std::string address() const;
 
     void onReady(bool isReadable, bool isWritable, bool isBroken) override;
@@ -52,7 +66,11 @@
 private:
     class ProxiedConnection;
 
+    /** Drops the first packets of new connections of clients that are cut off and hang. */
+    void updateFilter();
+
     eventloop::EventLoop &m_loop;
+    std::map<std::string, ClientCut> m_clientCuts;
     std::string m_target;
     LinkFault m_fault;
     std::unique_ptr<Poco::Net::ServerSocket> m_socket;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -132,6 +132,14 @@
         options.findCrashTrigger = [this](const Request &request) {
             return findCrashTrigger(m_environment, request);
         };
+        options.processAt = [this](const std::string &ip) {
+            for (const auto &it : m_gateways) {
+                if (it->ip() == ip) {
+                    return it->processName();
+                }
+            }
+            return std::string();
+        };
         options.onCrashed = [this](SoakUpstream &upstream) {
             restartUpstream(upstream, crashRestartDelay);
         };
@@ -309,6 +317,8 @@
         applyStoreFault(fault);
     } else if (fault.action == Action::CrashingPart || fault.action == Action::CrashingRequest) {
         applyCrashTrigger(fault);
+    } else if (fault.action == Action::CutGateways) {
+        cutGateways(fault);
     } else if (fault.action == Action::ReplaceUpstream || fault.action >= Action::UpstreamLinkSilent) {
         applyUpstreamFault(fault);
     } else {
@@ -435,6 +445,34 @@
         });
 }
 
+void Soak::cutGateways(const Fault &fault)
+{
+    constexpr std::uint64_t cutKinds = 3;
+    Random random(fault.targetNumber);
+    const auto cut = static_cast<ClientCut>(random.below(cutKinds));
+    const std::size_t count = 1 + random.below(m_gateways.size() - 1);
+    const std::size_t first = random.below(m_gateways.size());
+    const auto setCut = [this, first, count](std::optional<ClientCut> clientCut) {
+        for (std::size_t i = 0; i < count; ++i) {
+            for (const auto &upstream : m_upstreams) {
+                upstream->proxy().setClientCut(m_gateways[(first + i) % m_gateways.size()]->ip(), clientCut);
+            }
+        }
+    };
+    applyTemporarily(
+        fault, "cut",
+        [this, setCut, cut, first, count, duration = fault.duration] {
+            setCut(cut);
+            for (std::size_t i = 0; i < count; ++i) {
+                m_ledger.recordCut(
+                    m_gateways[(first + i) % m_gateways.size()]->processName(), m_loop.now(), m_loop.now() + duration);
+            }
+        },
+        [setCut] {
+            setCut(std::nullopt);
+        });
+}
+
 void Soak::restartUpstream(SoakUpstream &upstream, Milliseconds delay)
 {
     m_loop.after(delay, [this, &upstream] {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,6 +60,8 @@
     void applyStoreFault(const Fault &fault);
     void applyUpstreamFault(const Fault &fault);
     void applyCrashTrigger(const Fault &fault);
+    /** Cuts one to all but one gateways from all upstreams. */
+    void cutGateways(const Fault &fault);
     void replaceUpstream(SoakUpstream &upstream);
     /** Starts a crashed upstream again after `delay`, under a new id. */
     void restartUpstream(SoakUpstream &upstream, Milliseconds delay);
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -204,7 +204,8 @@
     }
     m_ledger.checkDrain(id, m_id, m_loop.now());
     m_ledger.checkLimit(id, m_id, m_loop.now());
-    m_ledger.checkTurnedAway(id, m_id, m_loop.now());
+    const std::string process = m_options.processAt ? m_options.processAt(connection->peerIp()) : std::string();
+    m_ledger.checkTurnedAway(id, m_id, process, m_loop.now());
     RequestRecord &record = m_ledger.record(id);
     record.hasUpstreamFault = record.hasUpstreamFault || m_faultMode != FaultMode::None;
     if (m_faultMode == FaultMode::Refusing) {
@@ -212,7 +213,7 @@
         return;
     }
     if (m_faultMode == FaultMode::TurningAway) {
-        m_ledger.recordTurnedAway(id, m_id, m_loop.now(), turnAwayTime);
+        m_ledger.recordTurnedAway(m_id, process, m_loop.now(), turnAwayTime);
         connection->sendResponse(503,
             answerFields(id, {{"Not-Executed", "1"}, {"Retry-After", std::to_string(turnAwayTime.count() / 1000)}}),
             {});
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -51,6 +51,8 @@
         std::vector<std::string> aliases;
         /** Returns the crash trigger that the request contains; empty if there is none. */
         std::function<std::string(const Request &)> findCrashTrigger;
+        /** Returns the name of the process whose connections leave from `ip`. */
+        std::function<std::string(const std::string &ip)> processAt;
         /** Called when a request has crashed the upstream. */
         std::function<void(SoakUpstream &)> onCrashed;
     };
--- a/tests/soak/tests/ledgertests.cpp
+++ b/tests/soak/tests/ledgertests.cpp
@@ -173,3 +173,38 @@
     }
     CHECK(brokenGuarantees(ledger) == (arrivals == 3 ? "" : "crash trigger"));
 }
+
+TEST_CASE("gateways that are cut from all upstreams and refuse their callers are reported")
+{
+    Ledger ledger(true);
+    ledger.recordCut("g1#1", startTime, startTime + Milliseconds(6000));
+    const bool isServed = GENERATE(true, false);
+    for (int i = 0; i < 40; ++i) {
+        const std::string number = std::to_string(i);
+        RequestRecord &cut = addServedRequest(ledger, "a" + number, RequestKind::Idempotent, "done a" + number + " by app");
+        cut.sentAt = startTime + Milliseconds(4000);
+        if (!isServed) {
+            cut.status = 503;
+            cut.hasRetryAfter = true;
+            cut.executedOn.clear();
+        }
+        RequestRecord &other = addServedRequest(ledger, "b" + number, RequestKind::Idempotent, "done b" + number + " by app");
+        other.process = "g2#1";
+        other.sentAt = startTime + Milliseconds(4000);
+    }
+    CHECK(brokenGuarantees(ledger) == (isServed ? "" : "served during a cut"));
+}
+
+TEST_CASE("requests at an upstream count for the gateway that sent them")
+{
+    Ledger ledger(true);
+    ledger.recordTurnedAway("i-1", "g2#1", startTime, Milliseconds(2000));
+    for (int i = 0; i < 5; ++i) {
+        ledger.checkTurnedAway("a" + std::to_string(i), "i-1", "g1#1", startTime + Milliseconds(1000));
+    }
+    CHECK(ledger.violations().empty());
+    for (int i = 0; i < 3; ++i) {
+        ledger.checkTurnedAway("b" + std::to_string(i), "i-1", "g2#1", startTime + Milliseconds(1000));
+    }
+    CHECK(ledger.violations().size() == 1);
+}
