Gateway: the test of connections that end at once fails without its mend

It now closes after 3 ms. With the code before (each connection counts at once) three tests of cuts fail: upstreams are left out at peers, and the partition is not found.

--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -73,7 +73,10 @@
     constexpr int requestCount = 30;
     CHECK(countServed(fleet, 0, requestCount, "cut") == requestCount);
     fleet.runFor(probeTime);
-    CHECK_FALSE(fleet.status(0)["partition"].is_null());
+    const nlohmann::json partition = fleet.status(0)["partition"];
+    REQUIRE_FALSE(partition.is_null());
+    // The partition has neither ended nor begun again.
+    CHECK(partition["since_ms_ago"] >= probeTime.count());
 }
 
 TEST_CASE("an instance that is cut from all upstreams does not make its peers leave them out")
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -12,6 +12,14 @@
 namespace magnolia::gateway::tests
 {
 
+namespace
+{
+
+/** Time between a connection and its reset, about a round trip, so that the client sees it established first. */
+constexpr Milliseconds closingDelay{3};
+
+} // namespace
+
 ScriptedUpstream::Connection::Connection(ScriptedUpstream &upstream)
     : m_upstream(upstream)
 {
@@ -127,9 +135,10 @@
 void ScriptedUpstream::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
 {
     if (m_isClosing) {
-        Poco::Net::StreamSocket socket = m_socket.acceptConnection();
-        socket.setLinger(true, 0);
-        socket.close();
+        m_loop.after(closingDelay, [socket = m_socket.acceptConnection()]() mutable {
+            socket.setLinger(true, 0);
+            socket.close();
+        });
         return;
     }
     const auto connection = std::make_shared<Connection>(*this);
