Test: ways on which the rest that an upstream asks for is lost (fail, KNOWN-RED)

Reading the code for whatever can lose a pause found three ways, each with a test that fails: the record is erased when the upstream's registration has a gap; a request that waits for memory is sent without asking again; a refusal without the request's id on a reused connection is passed over.

--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -461,6 +461,92 @@
     CHECK(leaving.requests.size() == 2);
 }
 
+TEST_CASE("an upstream that wants nothing for a time receives nothing after a gap in its registration")
+{
+    GatewayFixture fixture;
+    fixture.addUpstream("service", respondOk);
+    ScriptedUpstream &paused
+        = fixture.addUpstream("service", [](Connection &connection, const std::string &request, int /*number*/) {
+              connection.send(plainResponse(request, 503, "", "Not-Executed: 1\r\nRetry-After: 3600\r\n"));
+          });
+    for (int i = 0; i < 8; ++i) {
+        fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "a" + std::to_string(i));
+    }
+    REQUIRE(paused.requests.size() == 1);
+    auto node = fixture.upstreamRecords.extract("u2");
+    fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
+    forgetUnpublished(fixture.context);
+    fixture.upstreamRecords.insert(std::move(node));
+    fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
+    forgetUnpublished(fixture.context);
+    for (int i = 0; i < 8; ++i) {
+        fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "b" + std::to_string(i));
+    }
+    CHECK(paused.requests.size() == 1);
+}
+
+TEST_CASE("a request whose memory is being reserved is not sent to an upstream that meanwhile wants nothing")
+{
+    GatewayFixture fixture;
+    int resting = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (!request.starts_with("POST /order")) {
+            respondWithEvents(connection, request, 1, 2);
+            return;
+        }
+        fixture.loop.after(Milliseconds(100), [stream = connection.stream] {
+            stream->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        });
+    };
+    addSmallEngines(fixture, script);
+    httpwire::RequestHead head = fixture.makeRequest("id-1");
+    head.fields.add("Tokens", "1600, 20");
+    const auto exchange = fixture.beginRequest(fixture.makeRoute(RouteKind::Stream), head, "body");
+    // Answers to other requests tell meanwhile that all engines want nothing.
+    for (const auto &[name, record] : fixture.upstreamRecords) {
+        fixture.context.pressure.pause(
+            UpstreamIndex::keyOf(record.entry.id), record.entry.startedAt, Milliseconds(60'000), fixture.loop.now());
+        ++resting;
+    }
+    fixture.runUntil([&] {
+        return fixture.response.isFinished();
+    });
+    REQUIRE(resting == 3);
+    for (const auto &it : fixture.upstreams) {
+        for (const std::string &request : it->requests) {
+            CHECK(request.starts_with("POST /order"));
+        }
+    }
+    CHECK(fixture.response.head.status == 503);
+    CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) > 50);
+}
+
+TEST_CASE("a refusal with Retry-After but without the request's id pauses its upstream on a reused connection too")
+{
+    GatewayFixture fixture;
+    bool isRefusing = false;
+    ScriptedUpstream &upstream
+        = fixture.addUpstream("service", [&](Connection &connection, const std::string &request, int /*number*/) {
+              if (isRefusing) {
+                  connection.send("HTTP/1.1 503 X\r\nRetry-After: 3600\r\nContent-Length: 0\r\n\r\n");
+              } else {
+                  respondWithEvents(connection, request, 1, 2);
+              }
+          });
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream), "id-1");
+    isRefusing = true;
+    const auto exchange
+        = fixture.beginRequest(fixture.makeRoute(RouteKind::Stream), fixture.makeRequest("id-2"), "body");
+    fixture.runUntil(
+        [&] {
+            return fixture.response.isFinished();
+        },
+        Milliseconds(300));
+    CHECK(upstream.connections == 1);
+    const placement::UpstreamKey key = UpstreamIndex::keyOf(UpstreamId("u1"));
+    CHECK(fixture.context.pressure.availableAt(key, 0, 1, fixture.loop.now()) > fixture.loop.now());
+}
+
 TEST_CASE("an upstream that refuses with Retry-After receives no request until then")
 {
     GatewayFixture fixture;
