Limits: what an upstream has asked for outlasts a gap in its registration

Callers saw nothing; upstreams that rest get requests (BUDGET), and those with a limit more than it. The records of an upstream were erased as soon as it was missing from the published ones, which a lapsed heartbeat of a living upstream causes for a second or two. They are now kept for a minute of absence; another run of the upstream starts without them as before.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -88,7 +88,7 @@
         return context.upstreams.find(upstream) != nullptr;
     };
     context.outliers.retain(isKnown);
-    context.pressure.retain(isKnown);
+    context.pressure.retain(isKnown, context.loop.now());
     std::erase_if(context.unreported, [&](const auto &it) {
         return !isKnown(it.first);
     });
--- a/src/limits/internal/pressuretable.cpp
+++ b/src/limits/internal/pressuretable.cpp
@@ -89,11 +89,22 @@
     return at;
 }
 
-void PressureTable::retain(const std::function<bool(std::uint64_t)> &isKnown)
+void PressureTable::retain(const std::function<bool(std::uint64_t)> &isKnown, MonoTime now)
 {
-    std::erase_if(m_records, [&](const auto &it) {
-        return !isKnown(it.first);
+    std::erase_if(m_records, [&](auto &it) {
+        Record &record = it.second;
+        if (isKnown(it.first)) {
+            record.unknownSince.reset();
+            return false;
+        }
+        record.unknownSince = record.unknownSince.value_or(now);
+        return now - *record.unknownSince >= m_parameters.forgetAfter;
     });
 }
 
+std::size_t PressureTable::size() const
+{
+    return m_records.size();
+}
+
 } // namespace magnolia::limits
--- a/src/limits/pressuretable.h
+++ b/src/limits/pressuretable.h
@@ -7,6 +7,7 @@
 
 #include "framework/global/types/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -21,6 +22,9 @@
     Milliseconds burstTime{1000};
     /** Lower bound of a limit in requests per second; an answer tells whether the limit still holds. */
     double minRate = 0.1;
+    /** Time for which an upstream may be missing from the published ones before what it has asked for is forgotten;
+     * several times the gap of a registration that lapses while the upstream lives. */
+    Milliseconds forgetAfter{60'000};
 };
 
 class PressureTable
@@ -43,8 +47,9 @@
     /** Returns the time from which this run of an upstream takes a request; `now` if it takes one now. */
     [[nodiscard]] MonoTime availableAt(
         std::uint64_t upstream, std::uint64_t startedAt, double share, MonoTime now) const;
-    /** Removes all upstreams for which `isKnown` returns false. */
-    void retain(const std::function<bool(std::uint64_t upstream)> &isKnown);
+    /** Removes all upstreams for which `isKnown` has returned false for `forgetAfter`. */
+    void retain(const std::function<bool(std::uint64_t upstream)> &isKnown, MonoTime now);
+    [[nodiscard]] std::size_t size() const;
 
 private:
     struct Record
@@ -56,6 +61,8 @@
         /** Requests that may be sent; below zero after several instances have sent at the same moment. */
         double tokens = 0;
         MonoTime filledAt{};
+        /** Since when the upstream has been missing from the published ones. */
+        std::optional<MonoTime> unknownSince;
     };
 
     [[nodiscard]] double tokensAt(const Record &record, double rate, MonoTime now) const;
