Limits: the removal of unknown upstreams compiles

Same behaviour; the tests of limits and "an upstream that wants nothing for a time receives nothing after a gap in its registration" pass now.

--- a/src/limits/internal/pressuretable.cpp
+++ b/src/limits/internal/pressuretable.cpp
@@ -91,14 +91,12 @@
 
 void PressureTable::retain(const std::function<bool(std::uint64_t)> &isKnown, MonoTime now)
 {
-    std::erase_if(m_records, [&](auto &it) {
-        Record &record = it.second;
-        if (isKnown(it.first)) {
-            record.unknownSince.reset();
-            return false;
-        }
-        record.unknownSince = record.unknownSince.value_or(now);
-        return now - *record.unknownSince >= m_parameters.forgetAfter;
+    for (auto &[upstream, record] : m_records) {
+        record.unknownSince = isKnown(upstream) ? std::nullopt : std::optional(record.unknownSince.value_or(now));
+    }
+    std::erase_if(m_records, [&](const auto &it) {
+        const std::optional<MonoTime> &unknownSince = it.second.unknownSince;
+        return unknownSince && now - *unknownSince >= m_parameters.forgetAfter;
     });
 }
 
