Gateway: a refusal without the request's id on a reused connection pauses its upstream

An upstream may refuse before it has read the request's id. On a reused connection such an answer may belong to another request and is passed over, and with it the rest that it asks for and the leaving that it states: further requests came within that time (BUDGET, DRAIN). What an upstream says of itself holds whichever request the answer belongs to; only the end of a limit is not taken from such an answer, which may be late. The test found no pause before.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -45,6 +45,7 @@
     void onPartitioned() override;
 
     void onCallConnected() override;
+    void onOtherResponseHead(const httpwire::ResponseHead &head) override;
     void onResponseHead(const httpwire::ResponseHead &head) override;
     void onResponseBody(std::string_view bytes) override;
     void onResponseComplete() override;
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -51,6 +51,17 @@
     m_context.path->onConnected(m_decision.primary);
 }
 
+void Exchange::onOtherResponseHead(const httpwire::ResponseHead &head)
+{
+    if (isRelaying()) {
+        return;
+    }
+    // An upstream speaks of itself in every answer, but a late one does not tell that a limit has ended since.
+    UpstreamSignals signals = readUpstreamSignals(head, m_context.settings.names);
+    signals.hasLimitStatement = signals.requestsPerSecond.has_value();
+    recordUpstreamSignals(m_context, m_decision.primary, signals);
+}
+
 void Exchange::onResponseHead(const httpwire::ResponseHead &head)
 {
     m_upstreamHead = head;
--- a/src/gateway/internal/iupstreamcalllistener.h
+++ b/src/gateway/internal/iupstreamcalllistener.h
@@ -36,6 +36,10 @@
     }
     /** The head of the response to this request has arrived. */
     virtual void onResponseHead(const httpwire::ResponseHead &head) = 0;
+    /** The head of a response has arrived that does not belong to this request, for example of one without an id. */
+    virtual void onOtherResponseHead(const httpwire::ResponseHead & /*head*/)
+    {
+    }
     virtual void onResponseBody(std::string_view bytes) = 0;
     /** The response is complete: by its framing, or by the regular end of its connection if it has none. */
     virtual void onResponseComplete() = 0;
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -220,11 +220,12 @@
     const bool isRefusalWithoutId
         = echoedId.empty() && !m_isReused && (m_head.fields.has(m_request.notExecutedField) || m_head.status == 421);
     m_isSkippingResponse = echoedId != m_request.requestId && !isRefusalWithoutId;
-    if (m_isSkippingResponse && m_body.framing() == httpwire::BodyFraming::UntilClose) {
-        fail(CallFailure::Malformed, "answer to another request");
-        return false;
-    }
     if (m_isSkippingResponse) {
+        m_user->onOtherResponseHead(m_head);
+        if (m_body.framing() == httpwire::BodyFraming::UntilClose) {
+            fail(CallFailure::Malformed, "answer to another request");
+            return false;
+        }
         return !skipBytes(headSize);
     }
     m_user->onResponseHead(m_head);
