Gateway: an upstream's rest of more than ten minutes is kept to its end

A longer Retry-After was cut to ten minutes, after which the upstream got a request in each ten minutes of the rest (BUDGET allows two in all of it). Failed before: 3600 and 86400 were 600.

--- a/src/gateway/internal/upstreamsignals.cpp
+++ b/src/gateway/internal/upstreamsignals.cpp
@@ -20,8 +20,8 @@
 
 constexpr int otherUpstreamStatus = 421;
 constexpr int unavailableStatus = 503;
-/** A longer pause is asked for again when it has ended. */
-constexpr Milliseconds maxPause{600'000};
+/** Bound of the arithmetic, about eleven days. */
+constexpr double maxPauseSeconds = 1e6;
 
 /**
  * Returns the part of an upstream's limit for the instances of the own cell, which hear each other's placements: an
@@ -63,7 +63,7 @@
     signals.isLeaving = head.fields.value(names.upstreamLeaving) == "1";
     const double seconds = readNumber(head.fields.value(names.retryAfter));
     if (head.status == unavailableStatus && seconds > 0) {
-        signals.pause = std::min(maxPause, Milliseconds(static_cast<std::int64_t>(std::min(seconds, 1e6) * 1000)));
+        signals.pause = Milliseconds(static_cast<std::int64_t>(std::min(seconds, maxPauseSeconds) * 1000));
     }
     if (head.fields.has(names.upstreamLimit)) {
         signals.requestsPerSecond = readNumber(head.fields.value(names.upstreamLimit));
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -1,6 +1,8 @@
 // Checks the responses to callers and the requests to upstreams, with working and failing upstreams.
 #include "gatewayfixture.h"
 
+#include "gateway/internal/upstreamsignals.h"
+
 #include <catch2/catch.hpp>
 
 using namespace magnolia;
@@ -485,6 +487,21 @@
     CHECK(paused.requests.size() == 1);
 }
 
+TEST_CASE("the rest that an upstream asks for counts in seconds of any length")
+{
+    const auto [value, minSeconds, maxSeconds] = GENERATE(table<std::string, double, double>(
+        {{"3600", 3599, 3600}, {"86400", 86'399, 86'400}, {"0.5", 0.4, 0.5}, {"0", 0, 0}, {"-5", 0, 0}, {"soon", 0, 0},
+            {"Fri, 31 Dec 2027 23:59:59 GMT", 0, 0}, {"1e300", 999'999, 1'000'000}}));
+    httpwire::ResponseHead head;
+    head.status = 503;
+    head.fields.add("Retry-After", value);
+    const GatewayFixture fixture;
+    const auto pause = readUpstreamSignals(head, fixture.settings.names).pause.value_or(Milliseconds{0});
+    INFO(value);
+    CHECK(pause >= Milliseconds(static_cast<std::int64_t>(minSeconds * 1000)));
+    CHECK(pause <= Milliseconds(static_cast<std::int64_t>(maxSeconds * 1000)));
+}
+
 TEST_CASE("a request whose memory is being reserved is not sent to an upstream that meanwhile wants nothing")
 {
     GatewayFixture fixture;
