--- a/src/gateway/internal/upstreamindex.cpp
+++ b/src/gateway/internal/upstreamindex.cpp
@@ -10,6 +10,14 @@
 namespace magnolia::gateway
 {
 
+namespace
+{
+
+/** Runs of upstreams that have stated that they leave; beyond this, those that are not published are forgotten. */
+constexpr std::size_t maxLeavingRuns = 4096;
+
+} // namespace
+
 placement::UpstreamKey UpstreamIndex::keyOf(const UpstreamId &id)
 {
     return stableHash(id.value());
@@ -30,9 +38,12 @@
         m_byService[it.entry.service].push_back(knownUpstream);
         m_byKey[knownUpstream.key] = knownUpstream;
     }
-    std::erase_if(m_leavingRuns, [this](const auto &it) {
-        return !m_byKey.contains(it.first);
-    });
+    // A registration may lapse and come back while the upstream lives.
+    if (m_leavingRuns.size() > maxLeavingRuns) {
+        std::erase_if(m_leavingRuns, [this](const auto &it) {
+            return !m_byKey.contains(it.first);
+        });
+    }
     for (auto &[service, list] : m_byService) {
         std::sort(list.begin(), list.end(), [](const KnownUpstream &a, const KnownUpstream &b) {
             return a.key < b.key;
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -487,6 +487,28 @@
     CHECK(paused.requests.size() == 1);
 }
 
+TEST_CASE("an upstream that has stated that it leaves receives nothing after a gap in its registration")
+{
+    GatewayFixture fixture;
+    fixture.addUpstream("service", respondOk);
+    ScriptedUpstream &leaving
+        = fixture.addUpstream("service", [](Connection &connection, const std::string &request, int /*number*/) {
+              connection.send(plainResponse(request, 200, "ok", "Response-Signature: s\r\nLeaving: 1\r\n"));
+          });
+    for (int i = 0; i < 8; ++i) {
+        fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "a" + std::to_string(i));
+    }
+    REQUIRE(leaving.requests.size() == 1);
+    auto node = fixture.upstreamRecords.extract("u2");
+    fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
+    fixture.upstreamRecords.insert(std::move(node));
+    fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
+    for (int i = 0; i < 8; ++i) {
+        fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "b" + std::to_string(i));
+    }
+    CHECK(leaving.requests.size() == 1);
+}
+
 TEST_CASE("the rest that an upstream asks for counts in seconds of any length")
 {
     const auto [value, minSeconds, maxSeconds] = GENERATE(table<std::string, double, double>(
