Gateway: tests of cuts no longer meet the listeners of others

The tests of partitions failed in 4 of 6 runs side by side under the address sanitizer, and one plain run ended by heap corruption. Traced: a closed listener's port was given to another listener, of the same or of another test process, so that an instance that was cut reached something at the address of its upstream (log: "notice" was served by u2, whose port a peer had); and a gateway that was destroyed with open requests left connections to the event loop, whose requests refer to it.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -407,7 +407,15 @@
 {
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway()
+{
+    // The event loop may outlive the gateway and must not keep connections whose requests refer to it.
+    for (const auto &it : {m_parts->callerListener, m_parts->relayListener}) {
+        if (it) {
+            it->closeAll();
+        }
+    }
+}
 
 Result<void> Gateway::start()
 {
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -62,6 +62,15 @@
     }
 }
 
+void Listener::closeAll()
+{
+    stopAccepting();
+    const std::vector<std::shared_ptr<CallerConnection>> open(m_connections.begin(), m_connections.end());
+    for (const auto &it : open) {
+        it->onEnd(eventloop::StreamEnd::Broken);
+    }
+}
+
 void Listener::closeIdleConnections()
 {
     const std::vector<std::shared_ptr<CallerConnection>> open(m_connections.begin(), m_connections.end());
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -31,6 +31,8 @@
     void startAccepting();
     /** Closes the listening socket; open connections stay open. */
     void stopAccepting();
+    /** Closes the listening socket and all connections at once; their requests are cancelled. */
+    void closeAll();
     /** Gracefully closes connections that have no request. */
     void closeIdleConnections();
     /** Calls onPartitioned() of all requests that are being processed. */
--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -5,7 +5,6 @@
 
 #include "gateway/gateway.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
@@ -19,13 +18,6 @@
 constexpr Milliseconds checkInterval{2};
 constexpr Milliseconds startLimit{5000};
 
-Poco::Net::SocketAddress freeAddress()
-{
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
-    return socket.address();
-}
-
 /** Returns the configuration "c" and the upstreams "0", "1" and so on, and reports no changes. */
 class FixedStore : public published::IStoreClient
 {
@@ -186,11 +178,12 @@
         settings = names.settings;
         settings.instance = InstanceId("g" + std::to_string(m_instances.size()));
         settings.dataCentre = DataCentreId(it);
-        settings.callerAddress = freeAddress().toString();
-        settings.directoryAddress = freeAddress().toString();
-        settings.metricsAddress = freeAddress().toString();
-        settings.peerAddress = {"127.0.0.1", freeAddress().port()};
-        settings.relayAddress = freeAddress().toString();
+        settings.callerAddress = unusedAddress().toString();
+        settings.directoryAddress = unusedAddress().toString();
+        settings.metricsAddress = unusedAddress().toString();
+        const Poco::Net::SocketAddress peerAddress = unusedAddress();
+        settings.peerAddress = {peerAddress.host().toString(), peerAddress.port()};
+        settings.relayAddress = unusedAddress().toString();
         settings.paths.locate = "/locate";
         peers.push_back(settings.peerAddress);
         m_instances.push_back(std::move(instance));
--- a/src/gateway/tests/relaytests.cpp
+++ b/src/gateway/tests/relaytests.cpp
@@ -9,7 +9,6 @@
 
 #include <catch2/catch.hpp>
 #include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
 using namespace magnolia;
@@ -32,14 +31,12 @@
             addUpstream("service", [](Connection & /*connection*/, const std::string & /*request*/, int /*number*/) {});
             upstreams.back()->stopListening();
         }
-        Poco::Net::ServerSocket probe;
-        probe.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
         fleet::FleetLinkSettings link;
         link.instance = "self";
         link.dataCentre = "here";
-        link.address = {"127.0.0.1", probe.address().port()};
+        const Poco::Net::SocketAddress address = unusedAddress();
+        link.address = {address.host().toString(), address.port()};
         link.incarnation = 1;
-        probe.close();
         context.fleet = std::make_shared<fleet::FleetLink>(loop, link, *this);
         if (!context.fleet->start()) {
             throw std::runtime_error("no free port for datagrams");
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -3,11 +3,10 @@
 
 #include "framework/httpwire/messagereader.h"
 
-#include <Poco/Net/SocketAddress.h>
-
 #include <array>
 #include <linux/filter.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace magnolia::gateway::tests
 {
@@ -20,6 +19,17 @@
 
 } // namespace
 
+Poco::Net::SocketAddress unusedAddress()
+{
+    // Below the ports that the system gives to connections and to listeners on any port.
+    static std::uint16_t port = 10'000;
+    constexpr int addressesPerBlock = 250;
+    const int pid = static_cast<int>(::getpid());
+    const std::string ip = "127." + std::to_string(50 + pid / addressesPerBlock % 150) + '.'
+        + std::to_string(1 + pid % addressesPerBlock) + ".1";
+    return {ip, port++};
+}
+
 ScriptedUpstream::Connection::Connection(ScriptedUpstream &upstream)
     : m_upstream(upstream)
 {
@@ -79,7 +89,7 @@
 
 void ScriptedUpstream::listen()
 {
-    m_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+    m_socket.bind(unusedAddress(), true);
     m_socket.listen();
     m_address = m_socket.address().toString();
     m_loop.add(m_socket.impl()->sockfd(), shared_from_this(), {true, false});
--- a/src/gateway/tests/scriptedupstream.h
+++ b/src/gateway/tests/scriptedupstream.h
@@ -7,6 +7,7 @@
 #include "framework/eventloop/tcpstream.h"
 
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 
 #include <functional>
 #include <memory>
@@ -16,6 +17,12 @@
 namespace magnolia::gateway::tests
 {
 
+/**
+ * Returns an address that no other listener has had, in this test process or another one. A listener that is closed
+ * leaves a port at which nothing else answers.
+ */
+[[nodiscard]] Poco::Net::SocketAddress unusedAddress();
+
 class ScriptedUpstream : public eventloop::IReadinessHandler, public std::enable_shared_from_this<ScriptedUpstream>
 {
 public:
