Gateway: a sound upstream that is silent for a second or two keeps its connections

A request that must not run twice got 502 although its upstream answered: TCP_USER_TIMEOUT (1.5 s) also decides when keep-alive probes give up, whatever their count, so that a connection ended at the second probe, 2 s after the last packet, although its host was back before. With 2.5 s the second probe is sent and answered. The test (a host that acknowledges nothing for 1.7 s and answers after 2.3 s) got 502 before. Hosts that are dead are found after 3 s instead of 2 s on an idle connection; streams are moved by their own silence, as before.

--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -19,9 +19,10 @@
 constexpr Milliseconds connectTimeout{400};
 /** Round trips in which the other end closes a connection that it does not want. */
 constexpr Milliseconds settleTime{20};
-/** Keep-alive probes detect a dead upstream while it sends nothing, missing acknowledgements while data is sent to
- * it. */
-constexpr eventloop::TcpTimeouts upstreamTcpTimeouts{Milliseconds{1000}, Milliseconds{1000}, 2, Milliseconds{1500}};
+/** Keep-alive probes detect a dead upstream while it sends nothing, missing acknowledgements while data is sent to it.
+ * The second timeout also ends the probes, so it is later than the second probe: a sound host may be silent for a
+ * second or two. */
+constexpr eventloop::TcpTimeouts upstreamTcpTimeouts{Milliseconds{1000}, Milliseconds{1000}, 2, Milliseconds{2500}};
 constexpr std::size_t maxHeadBytes = 64 * 1024;
 /** Upper bound of informational heads and late answers to other requests before the answer to this one. */
 constexpr std::size_t maxSkippedBytes = 256 * 1024;
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -524,6 +524,40 @@
     CHECK(pause <= Milliseconds(static_cast<std::int64_t>(maxSeconds * 1000)));
 }
 
+TEST_CASE("a stream whose upstream is silent for more than a second goes on there if it can be reached")
+{
+    GatewayFixture fixture;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        connection.send(eventStreamHead(request) + eventChunk(1));
+        fixture.loop.after(Milliseconds(1200), [stream = connection.stream] {
+            stream->write(eventChunk(2) + "0\r\n\r\n");
+        });
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream));
+    CHECK(fixture.response.isComplete);
+    CHECK(fixture.response.body == eventsText(1, 2));
+    CHECK(totalRequestCount(fixture) == 1);
+}
+
+TEST_CASE("a request that must not run twice outlasts a silence of its upstream's host of more than a second")
+{
+    GatewayFixture fixture;
+    fixture.addUpstream("service", [&](Connection &connection, const std::string &request, int /*number*/) {
+        const auto self = connection.shared_from_this();
+        self->setSilent(true);
+        fixture.loop.after(Milliseconds(1700), [self] {
+            self->setSilent(false);
+        });
+        fixture.loop.after(Milliseconds(2300), [self, request] {
+            self->send(plainResponse(request, 200, "ok"));
+        });
+    });
+    fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce));
+    CHECK(fixture.response.head.status == 200);
+}
+
 TEST_CASE("a request whose memory is being reserved is not sent to an upstream that meanwhile wants nothing")
 {
     GatewayFixture fixture;
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -19,6 +19,26 @@
 
 } // namespace
 
+namespace
+{
+
+/** Makes the host drop all packets to a socket, which leaves them without an acknowledgement, or ends that. */
+void dropPackets(const Poco::Net::Socket &socket, bool isDropping)
+{
+    const int fd = socket.impl()->sockfd();
+    if (!isDropping) {
+        const int unused = 0;
+        ::setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+        return;
+    }
+    // A filter that accepts no bytes of any packet.
+    std::array<sock_filter, 1> instructions{{{BPF_RET | BPF_K, 0, 0, 0}}};
+    const sock_fprog program{static_cast<unsigned short>(instructions.size()), instructions.data()};
+    ::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+} // namespace
+
 Poco::Net::SocketAddress unusedAddress()
 {
     // Below the ports that the system gives to connections and to listeners on any port.
@@ -50,6 +70,11 @@
     stream->reset();
 }
 
+void ScriptedUpstream::Connection::setSilent(bool isSilent)
+{
+    dropPackets(socket, isSilent);
+}
+
 void ScriptedUpstream::Connection::onInput()
 {
     const std::string &input = stream->input();
@@ -112,16 +137,7 @@
 void ScriptedUpstream::setHanging(bool isHanging)
 {
     m_isHanging = isHanging;
-    const int fd = m_socket.impl()->sockfd();
-    if (!isHanging) {
-        const int unused = 0;
-        ::setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
-        return;
-    }
-    // A filter that accepts no bytes drops the first packets of new connections.
-    std::array<sock_filter, 1> instructions{{{BPF_RET | BPF_K, 0, 0, 0}}};
-    const sock_fprog program{static_cast<unsigned short>(instructions.size()), instructions.data()};
-    ::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+    dropPackets(m_socket, isHanging);
 }
 
 void ScriptedUpstream::setClosing(bool isClosing)
@@ -152,7 +168,8 @@
         return;
     }
     const auto connection = std::make_shared<Connection>(*this);
-    connection->stream = eventloop::TcpStream::adopt(m_loop, m_socket.acceptConnection(), *connection, {});
+    connection->socket = m_socket.acceptConnection();
+    connection->stream = eventloop::TcpStream::adopt(m_loop, connection->socket, *connection, {});
     m_open.push_back(connection);
     ++connections;
 }
--- a/src/gateway/tests/scriptedupstream.h
+++ b/src/gateway/tests/scriptedupstream.h
@@ -35,11 +35,14 @@
         void send(const std::string &bytes);
         void close();
         void reset();
+        /** While silent, the host acknowledges nothing on this connection, as if it was suspended. */
+        void setSilent(bool isSilent);
 
         void onInput() override;
         void onEnd(eventloop::StreamEnd end) override;
 
         std::shared_ptr<eventloop::TcpStream> stream;
+        Poco::Net::StreamSocket socket;
 
     private:
         ScriptedUpstream &m_upstream;
