Gateway: a relayed request runs on one upstream for each peer

What a lost peer has done cannot be known, so each relay may now run on one upstream, and the relaying instance itself decides on the next attempt, by its own budget: also after a peer's 502 or an upstream's failure that a peer passed on.

--- a/src/gateway/internal/callerhandler.cpp
+++ b/src/gateway/internal/callerhandler.cpp
@@ -52,7 +52,7 @@
     logging::write(logging::Level::Info, "gateway", "relay_received",
         {{"request", head.fields.value(m_context.settings.names.requestId)},
             {"peer", std::string_view(origin.instance)}, {"elapsed_ms", std::int64_t{origin.elapsed.count()}},
-            {"prior_upstreams", std::int64_t{origin.priorUpstreams}}});
+            {"max_upstreams", std::int64_t{origin.maxUpstreams}}});
     const MonoTime callerReceivedAt = receivedAt - origin.elapsed;
     return begin(std::move(origin), std::move(head), std::move(body), callerReceivedAt, responseWriter);
 }
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -21,13 +21,16 @@
 
 /** Peers to which one request is relayed at most; peers may be partitioned as well and not know it yet. */
 constexpr std::size_t maxRelayPeers = 3;
+/** Upstreams on which a request may run at one peer. If the peer is lost, it counts as having run on all of them. */
+constexpr int upstreamsPerRelay = 1;
 constexpr int refusedStatus = 503;
+constexpr int minFailureStatus = 500;
 
 } // namespace
 
 int Exchange::maxAttempts() const
 {
-    return m_route.maxAttempts - (m_relayOrigin ? m_relayOrigin->priorUpstreams : 0);
+    return m_relayOrigin ? std::min(m_route.maxAttempts, m_relayOrigin->maxUpstreams) : m_route.maxAttempts;
 }
 
 bool Exchange::isRelaying() const
@@ -96,7 +99,7 @@
     }
     head.fields.add(relayFromField, m_context.settings.instance.value());
     head.fields.add(relayElapsedField, std::to_string(elapsed().count()));
-    head.fields.add(relayPriorField, std::to_string(m_attempts.possiblyRunOn().size()));
+    head.fields.add(relayMaxUpstreamsField, std::to_string(upstreamsPerRelay));
     if (!m_body.empty() || m_head.fields.has("Content-Length") || m_head.fields.has("Transfer-Encoding")) {
         head.fields.add("Content-Length", std::to_string(m_body.size()));
     }
@@ -174,7 +177,14 @@
         return;
     }
     m_attempts.end(AttemptExecution::MayHaveRun);
-    if (m_upstreamHead.fields.has(m_context.settings.names.signature)) {
+    const bool isOfUpstream = m_upstreamHead.fields.has(m_context.settings.names.signature);
+    const bool isFailure = !isOfUpstream || m_upstreamHead.status >= minFailureStatus;
+    if (isFailure && canRetry()) {
+        m_isRelaying = false;
+        retryOrGiveUp(isOfUpstream ? "upstream_failed" : "relay_failed");
+        return;
+    }
+    if (isOfUpstream) {
         forwardResponse();
         return;
     }
--- a/src/gateway/internal/relayprotocol.cpp
+++ b/src/gateway/internal/relayprotocol.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr double maxElapsedMs = 3'600'000;
-constexpr double maxPriorUpstreams = 100;
+constexpr double maxUpstreams = 100;
 /** Refusals that rest on what all instances know: load, limits and quarantines. */
 constexpr std::array<std::string_view, 5> finalReasons{"crowded", "too_late", "too_large", "paused", "quarantined"};
 
@@ -31,8 +31,8 @@
     origin.instance = head.fields.value(relayFromField);
     const double elapsed = std::min(readNumber(head.fields.value(relayElapsedField)), maxElapsedMs);
     origin.elapsed = Milliseconds(static_cast<std::int64_t>(elapsed));
-    origin.priorUpstreams
-        = static_cast<int>(std::min(readNumber(head.fields.value(relayPriorField)), maxPriorUpstreams));
+    const double upstreams = std::clamp(readNumber(head.fields.value(relayMaxUpstreamsField)), 1.0, maxUpstreams);
+    origin.maxUpstreams = static_cast<int>(upstreams);
     std::erase_if(head.fields.entries, [](const auto &it) {
         return isRelayField(it.first);
     });
--- a/src/gateway/internal/relayprotocol.h
+++ b/src/gateway/internal/relayprotocol.h
@@ -17,8 +17,8 @@
 inline constexpr std::string_view relayFromField = "Magnolia-Relay-From";
 /** Time in milliseconds since the relaying instance has received the request. */
 inline constexpr std::string_view relayElapsedField = "Magnolia-Relay-Elapsed-Ms";
-/** Number of upstreams on which the request may already have run. */
-inline constexpr std::string_view relayPriorField = "Magnolia-Relay-Prior-Upstreams";
+/** Number of upstreams on which the request may run at the peer. */
+inline constexpr std::string_view relayMaxUpstreamsField = "Magnolia-Relay-Max-Upstreams";
 /** In a refusal: why the request has not run and will not run at the peer. */
 inline constexpr std::string_view relayNotRunField = "Magnolia-Relay-Not-Run";
 /** In an answer of an upstream: the id of that upstream. */
@@ -29,7 +29,7 @@
 {
     std::string instance;
     Milliseconds elapsed{0};
-    int priorUpstreams = 0;
+    int maxUpstreams = 1;
 };
 
 /** Whether a field belongs to this protocol. */
--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <set>
 
 using namespace magnolia;
 using namespace magnolia::gateway;
@@ -265,6 +266,34 @@
     CHECK(arrivals == 2);
 }
 
+TEST_CASE("a request whose upstreams fail reaches no more of them by way of several peers than its route allows")
+{
+    const std::string path = GENERATE("/safe/x", "/stream/x", "/once/x");
+    GatewayFleet fleet({"a", "a", "a", "a"});
+    std::set<std::string> reached;
+    std::size_t arrivals = 0;
+    for (std::size_t i = 0; i < engineCount + serviceCount; ++i) {
+        fleet.addUpstream(
+            i < engineCount ? "engine" : "app", [&](Connection &connection, const std::string &request, int number) {
+                if (headerField(request, "Request-Id") != "broken") {
+                    respond(connection, request, number);
+                    return;
+                }
+                ++arrivals;
+                reached.insert(headerField(request, "Expected-Upstream"));
+                connection.reset();
+            });
+    }
+    fleet.start();
+    fleet.cut(0, Cut::Reset);
+    fleet.run(0, "first", "/safe/x");
+    const auto caller = fleet.run(0, "broken", path);
+    CHECK(caller->status() == 502);
+    CHECK(reached.size() <= 2);
+    CHECK(arrivals >= (path == "/once/x" ? 1 : 2));
+    CHECK((path != "/once/x" || arrivals == 1));
+}
+
 TEST_CASE("an instance uses its own path again soon after a cut and probes no longer")
 {
     const Cut cut = GENERATE(Cut::Reset, Cut::Hanging, Cut::Closing);
