--- a/bench/experiment/tests/crashexperimenttests.cpp
+++ b/bench/experiment/tests/crashexperimenttests.cpp
@@ -80,3 +80,13 @@
     CHECK(totals.maxLateArrivals <= maxLateArrivals);
     CHECK(totals.soundRefused == 0);
 }
+
+TEST_CASE("a fleet whose halves do not hear each other knows a part that crashes engines in time")
+{
+    CrashScenario scenario;
+    scenario.cutFrom = Milliseconds(10'000);
+    scenario.cutTime = Milliseconds(10'000);
+    const Totals totals = runSeeds(scenario, 20);
+    CHECK(totals.maxLateArrivals <= maxLateArrivals);
+    CHECK(totals.soundRefused == 0);
+}
