--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -168,7 +168,8 @@
     int cutServedCount = 0;
     int otherCount = 0;
     int otherServedCount = 0;
-    for (const auto &[id, it] : m_records) {
+    for (const auto &entry : m_records) {
+        const RequestRecord &it = entry.second;
         if (it.isAbandoned || it.hasUpstreamFault) {
             continue;
         }
