Gateway: a partition lasts while a busy host closes new connections late

Probes during a partition wait 150 ms for the end of their connection; a partition seen 0.3 s longer costs relays only. The new test (closed after 60 ms) failed before. What remains: a cut that begins by closing connections this late is found only by other failures.

--- a/src/gateway/internal/pathmonitor.cpp
+++ b/src/gateway/internal/pathmonitor.cpp
@@ -19,6 +19,9 @@
 constexpr std::array<std::size_t, 3> probesPerRound{1, 4, 4};
 /** Several round trips between any two data centres. */
 constexpr Milliseconds maxRoundTripTime{50};
+/** During a partition, connections may be accepted and closed by a host that is busy. A partition that seems to end too
+ * early costs requests, one that ends later costs a relay. */
+constexpr Milliseconds settleTimeWhilePartitioned{150};
 
 } // namespace
 
@@ -187,7 +190,8 @@
         done(Reachability::NoAnswer);
         return;
     }
-    ReachabilityProbe::run(m_context.loop, known->entry.address,
+    ReachabilityProbe::run(
+        m_context.loop, known->entry.address,
         [this, alive = std::weak_ptr<bool>(m_alive), upstream, startedAt = m_context.loop.now(),
             done = std::move(done)](Reachability reachability) {
             if (!alive.lock()) {
@@ -199,7 +203,8 @@
                 onConnectFailed(upstream, startedAt);
             }
             done(reachability);
-        });
+        },
+        m_detector.isPartitioned() ? settleTimeWhilePartitioned : ReachabilityProbe::defaultSettleTime);
 }
 
 void PathMonitor::confirmPath(placement::UpstreamKey except, std::function<void(bool isSound)> done)
--- a/src/gateway/internal/reachabilityprobe.cpp
+++ b/src/gateway/internal/reachabilityprobe.cpp
@@ -9,15 +9,13 @@
 
 /** Many round trips between any two data centres, but less than the silence that callers of a stream tolerate. */
 constexpr Milliseconds probeTimeout{250};
-/** Round trips in which the other end closes a connection that it does not want. */
-constexpr Milliseconds settleTime{20};
 
 } // namespace
 
-void ReachabilityProbe::run(
-    eventloop::EventLoop &loop, const std::string &address, std::function<void(Reachability)> done)
+void ReachabilityProbe::run(eventloop::EventLoop &loop, const std::string &address,
+    std::function<void(Reachability)> done, Milliseconds settleTime)
 {
-    const auto probe = std::make_shared<ReachabilityProbe>(loop, std::move(done));
+    const auto probe = std::make_shared<ReachabilityProbe>(loop, std::move(done), settleTime);
     probe->m_self = probe;
     probe->m_stream = eventloop::TcpStream::connect(loop, address, *probe, {});
     probe->m_timer = loop.after(probeTimeout, [weak = std::weak_ptr<ReachabilityProbe>(probe)] {
@@ -27,9 +25,11 @@
     });
 }
 
-ReachabilityProbe::ReachabilityProbe(eventloop::EventLoop &loop, std::function<void(Reachability)> done)
+ReachabilityProbe::ReachabilityProbe(
+    eventloop::EventLoop &loop, std::function<void(Reachability)> done, Milliseconds settleTime)
     : m_loop(loop)
     , m_done(std::move(done))
+    , m_settleTime(settleTime)
 {
 }
 
@@ -37,7 +37,7 @@
 {
     m_isConnected = true;
     m_loop.cancel(m_timer);
-    m_timer = m_loop.after(settleTime, [weak = weak_from_this()] {
+    m_timer = m_loop.after(m_settleTime, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->finish(Reachability::Reached);
         }
--- a/src/gateway/internal/reachabilityprobe.h
+++ b/src/gateway/internal/reachabilityprobe.h
@@ -27,10 +27,14 @@
 class ReachabilityProbe : public eventloop::ITcpStreamListener, public std::enable_shared_from_this<ReachabilityProbe>
 {
 public:
-    /** Calls `done` once. */
-    static void run(eventloop::EventLoop &loop, const std::string &address, std::function<void(Reachability)> done);
+    /** Round trips in which the other end closes a connection that it does not want. */
+    static constexpr Milliseconds defaultSettleTime{20};
 
-    ReachabilityProbe(eventloop::EventLoop &loop, std::function<void(Reachability)> done);
+    /** Calls `done` once. A connection that ends within `settleTime` without any byte does not count as reached. */
+    static void run(eventloop::EventLoop &loop, const std::string &address, std::function<void(Reachability)> done,
+        Milliseconds settleTime = defaultSettleTime);
+
+    ReachabilityProbe(eventloop::EventLoop &loop, std::function<void(Reachability)> done, Milliseconds settleTime);
 
     void onConnected() override;
     void onInput() override;
@@ -44,6 +48,7 @@
     std::shared_ptr<eventloop::TcpStream> m_stream;
     // Keeps the probe alive until it has finished.
     std::shared_ptr<ReachabilityProbe> m_self;
+    Milliseconds m_settleTime;
     bool m_isConnected = false;
     eventloop::TimerId m_timer = 0;
 };
--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -338,6 +338,23 @@
     CHECK(fleet.requestCount(0) == requestsBefore + 9);
 }
 
+TEST_CASE("a partition lasts while a busy host closes new connections late")
+{
+    GatewayFleet fleet({"a", "a"});
+    addUpstreams(fleet);
+    fleet.start();
+    fleet.cut(0, Cut::Closing);
+    countServed(fleet, 0, 4, "first");
+    REQUIRE_FALSE(fleet.status(0)["partition"].is_null());
+    for (std::size_t i = 0; i < engineCount + serviceCount; ++i) {
+        fleet.upstream(0, i).setClosing(true, Milliseconds(60));
+    }
+    fleet.runFor(probeTime);
+    const nlohmann::json partition = fleet.status(0)["partition"];
+    REQUIRE_FALSE(partition.is_null());
+    CHECK(partition["since_ms_ago"] >= probeTime.count());
+}
+
 TEST_CASE("a stopping peer takes no relayed requests")
 {
     GatewayFleet fleet({"a", "a", "a"});
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -14,14 +14,6 @@
 namespace
 {
 
-/** Time between a connection and its reset, about a round trip, so that the client sees it established first. */
-constexpr Milliseconds closingDelay{3};
-
-} // namespace
-
-namespace
-{
-
 /** Makes the host drop all packets to a socket, which leaves them without an acknowledgement, or ends that. */
 void dropPackets(const Poco::Net::Socket &socket, bool isDropping)
 {
@@ -140,9 +132,10 @@
     dropPackets(m_socket, isHanging);
 }
 
-void ScriptedUpstream::setClosing(bool isClosing)
+void ScriptedUpstream::setClosing(bool isClosing, Milliseconds delay)
 {
     m_isClosing = isClosing;
+    m_closingDelay = delay;
 }
 
 void ScriptedUpstream::resetConnections()
@@ -161,7 +154,7 @@
 void ScriptedUpstream::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
 {
     if (m_isClosing) {
-        m_loop.after(closingDelay, [socket = m_socket.acceptConnection()]() mutable {
+        m_loop.after(m_closingDelay, [socket = m_socket.acceptConnection()]() mutable {
             socket.setLinger(true, 0);
             socket.close();
         });
--- a/src/gateway/tests/scriptedupstream.h
+++ b/src/gateway/tests/scriptedupstream.h
@@ -60,8 +60,9 @@
     void resumeListening();
     /** While hanging, neither new connections nor requests on open ones are answered. */
     void setHanging(bool isHanging);
-    /** While closing, new connections are reset as soon as they are established. */
-    void setClosing(bool isClosing);
+    /** While closing, new connections are reset after `delay`, about a round trip, so that they are seen established.
+     */
+    void setClosing(bool isClosing, Milliseconds delay = Milliseconds(3));
     void resetConnections();
     [[nodiscard]] std::string address() const;
 
@@ -80,6 +81,7 @@
     std::string m_address;
     bool m_isHanging = false;
     bool m_isClosing = false;
+    Milliseconds m_closingDelay{0};
     std::vector<std::shared_ptr<Connection>> m_open;
 };
 
