Catalogue, platform: budgets of cold upstreams, homes and the limits that the new parts need

Cause: nothing reads ColdStartS, ColdPerS, ColdRemainingMs, AllowedRegions, ColdOver, ColdSlack, EvacuateMs, Region, Zones and MemoryMb. Nothing uses them yet.

--- a/src/catalogue/types/catalogue.h
+++ b/src/catalogue/types/catalogue.h
@@ -21,6 +21,8 @@
     OrganisationId name;
     /** Overrides the priority of the route. */
     std::optional<int> priority;
+    /** Regions whose upstreams may run the requests; empty if all may. Homes of the route bind as well. */
+    std::vector<RegionId> homes;
 };
 
 /** Size and time limits for incoming requests; the defaults apply until a configuration is known. */
--- a/src/catalogue/types/route.h
+++ b/src/catalogue/types/route.h
@@ -1,6 +1,7 @@
 // A published route: the requests it matches, their time limits and their destinations.
 #pragma once
 
+#include "framework/global/types/ids.h"
 #include "framework/global/types/time.h"
 
 #include <string>
@@ -42,6 +43,8 @@
     /** 0 is the most urgent. */
     int priority = 5;
     std::vector<Destination> destinations;
+    /** Regions whose upstreams may run the requests; empty if all may. */
+    std::vector<RegionId> homes;
     /** Maximum number of upstreams on which one request may run. */
     int maxAttempts = 1;
     /** Requests need no API key. */
--- a/src/catalogue/types/upstreamentry.h
+++ b/src/catalogue/types/upstreamentry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "framework/global/types/ids.h"
+#include "framework/global/types/time.h"
 
 #include <cstdint>
 #include <string>
@@ -19,6 +20,8 @@
     /** Maximum number of concurrent requests; 0 if the upstream does not publish it. */
     int slots = 0;
     bool isLeaving = false;
+    /** Time for which the upstream remained cold when it wrote this entry; 0 if it was warm. */
+    Milliseconds coldRemaining{0};
     /** Start time in Unix milliseconds; a different value under the same id is a different incarnation. */
     std::uint64_t startedAt = 0;
 
--- a/src/framework/global/types/ids.h
+++ b/src/framework/global/types/ids.h
@@ -12,6 +12,8 @@
 /** A model engine or plain service that the system routes to. */
 using UpstreamId = StringId<struct UpstreamTag>;
 using DataCentreId = StringId<struct DataCentreTag>;
+/** A group of data centres. */
+using RegionId = StringId<struct RegionTag>;
 using OrganisationId = StringId<struct OrganisationTag>;
 /** A request class with its targets. */
 using ClassId = StringId<struct ClassTag>;
--- a/src/gateway/tests/gatewayfixture.cpp
+++ b/src/gateway/tests/gatewayfixture.cpp
@@ -155,7 +155,7 @@
 {
     route = theRoute;
     response = {};
-    const catalogue::OrganisationEntry organisation{OrganisationId("acme"), std::nullopt};
+    const catalogue::OrganisationEntry organisation{OrganisationId("acme"), std::nullopt, {}};
     auto exchange = std::make_shared<Exchange>(
         context, route, organisation, std::move(head), body, loop.now(), std::nullopt, response);
     exchange->start();
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include "fleet/types/peermessage.h"
+#include "framework/global/types/bytes.h"
 #include "framework/global/types/ids.h"
 #include "framework/global/types/time.h"
 #include "gateway/types/wirenames.h"
 
 #include <cstddef>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +39,19 @@
     /** Retries that all instances may make per service and window: this share of its requests, plus the slack. */
     double retryRatio = 0.2;
     double retrySlack = 100;
+    /**
+     * Requests that a cold upstream may get in any second from all instances together: its published rate times
+     * `coldRatio`, plus `coldSlack`. Cold upstreams have no budget unless both are set.
+     */
+    std::optional<double> coldRatio;
+    std::optional<double> coldSlack;
+    /** Time after which no request reaches the upstreams of a data centre that the operator has evacuated. */
+    Milliseconds evacuationApplyTime{5000};
+    /** Region of this instance, and the regions of all data centres by their names; empty if not known. */
+    RegionId region;
+    std::map<DataCentreId, RegionId> regions;
+    /** Memory that the process may use; 0 if it is not limited. */
+    Bytes maxMemory{0};
     /** Time in which a published configuration has to be in force. */
     Milliseconds configurationApplyTime{2000};
     /** Time between two heartbeats of an upstream to the store. */
--- a/src/gateway/types/wirenames.h
+++ b/src/gateway/types/wirenames.h
@@ -43,6 +43,8 @@
     std::string upstreamLeaving;
     /** Requests per second that the responding upstream takes of all instances together, as a decimal number. */
     std::string upstreamLimit;
+    /** Milliseconds for which the responding upstream stays cold. */
+    std::string upstreamCold;
 };
 
 /** Paths of control requests and of orders to engines. */
