Eventloop, gateway: unexpected errors, planned stops and slow bodies

Cause: three of the faults that operators of similar systems report could happen here. An exception of any callback ended the process. A planned stop closed the listening socket with connections in its queue, and closed kept connections whose next request had been received but not read, so that callers were reset without an answer. A body had to arrive within the header timeout from its first byte, which cuts a large one over a slow link. Change: the event loop logs and counts an exception of a callback and goes on. A stop accepts what waits in the queue and keeps connections with unread input. A body is waited for as long as 16 KiB arrive within each header timeout; a byte now and then is not enough.

--- a/src/framework/eventloop/eventloop.h
+++ b/src/framework/eventloop/eventloop.h
@@ -32,6 +32,10 @@
  *
  * Time is CLOCK_BOOTTIME, which also advances while the machine is suspended, so that a deadline that passed during a
  * suspension counts as passed.
+ *
+ * An exception that leaves a callback ends this callback only: it is logged and counted, and the loop goes on, so that
+ * one message that nothing was prepared for does not end all other requests of the process. A socket whose handler
+ * fails a hundred times in a row is no longer watched.
  */
 class EventLoop
 {
@@ -62,6 +66,9 @@
     /** Reads the clock. */
     [[nodiscard]] static MonoTime readClock();
 
+    /** Number of callbacks that were left by an exception. */
+    [[nodiscard]] std::uint64_t failedCallbackCount() const;
+
     /** Handles events until `stop` is called. */
     void run();
     void stop();
@@ -72,6 +79,7 @@
         std::shared_ptr<IReadinessHandler> handler;
         Interest interest;
         std::uint64_t generation = 0;
+        int consecutiveFailures = 0;
     };
     struct Timer
     {
@@ -79,6 +87,10 @@
         TimerId id = 0;
     };
 
+    /** Calls `callback`; returns whether it ended without an exception. */
+    template <typename Callback>
+    bool call(const Callback &callback);
+    void callHandler(int fd, std::uint64_t generation, std::uint32_t events);
     void waitOnce();
     void runTimers();
     void runDeferred();
@@ -95,6 +107,7 @@
     std::unordered_map<TimerId, std::function<void()>> m_timerTasks;
     std::vector<std::function<void()>> m_deferredTasks;
     std::string m_sourceAddress;
+    std::uint64_t m_failedCallbackCount = 0;
 };
 
 } // namespace magnolia::eventloop
--- a/src/framework/eventloop/internal/eventloop.cpp
+++ b/src/framework/eventloop/internal/eventloop.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <ctime>
+#include <exception>
 #include <stdexcept>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -22,6 +23,8 @@
 constexpr std::size_t maxEventsPerWait = 64;
 /** Upper bound of each wait, so that a lost wake-up cannot delay work indefinitely. */
 constexpr int maxWaitMs = 1000;
+/** A handler that fails before it has read its input would be called again at once, without end. */
+constexpr int maxConsecutiveFailures = 100;
 
 std::uint32_t toEpollEvents(const Interest &interest)
 {
@@ -158,7 +161,7 @@
         if (it != m_timerTasks.end()) {
             const auto task = std::move(it->second);
             m_timerTasks.erase(it);
-            task();
+            call(task);
         }
     }
 }
@@ -169,7 +172,7 @@
         std::vector<std::function<void()>> tasks;
         tasks.swap(m_deferredTasks);
         for (const auto &task : tasks) {
-            task();
+            call(task);
         }
     }
 }
@@ -183,6 +186,44 @@
     return static_cast<int>(std::clamp<std::int64_t>(remainingMs, 0, maxWaitMs));
 }
 
+template <typename Callback>
+bool EventLoop::call(const Callback &callback)
+{
+    try {
+        callback();
+        return true;
+    } catch (const std::exception &ex) {
+        ++m_failedCallbackCount;
+        logging::write(
+            logging::Level::Error, "eventloop", "callback_failed", {{"detail", std::string_view(ex.what())}});
+        return false;
+    }
+}
+
+void EventLoop::callHandler(int fd, std::uint64_t generation, std::uint32_t events)
+{
+    const auto handler = m_watchedSockets.at(fd).handler;
+    const bool isBroken = (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
+    const bool isDone = call([&] {
+        handler->onReady((events & EPOLLIN) != 0, (events & EPOLLOUT) != 0, isBroken);
+    });
+    // The handler may have removed its socket.
+    const auto it = m_watchedSockets.find(fd);
+    if (it == m_watchedSockets.end() || it->second.generation != generation) {
+        return;
+    }
+    it->second.consecutiveFailures = isDone ? 0 : it->second.consecutiveFailures + 1;
+    if (it->second.consecutiveFailures >= maxConsecutiveFailures) {
+        logging::write(logging::Level::Error, "eventloop", "socket_abandoned", {{"fd", std::int64_t{fd}}});
+        remove(fd);
+    }
+}
+
+std::uint64_t EventLoop::failedCallbackCount() const
+{
+    return m_failedCallbackCount;
+}
+
 void EventLoop::waitOnce()
 {
     std::array<epoll_event, maxEventsPerWait> events{};
@@ -196,9 +237,7 @@
         if (it == m_watchedSockets.end() || it->second.generation != event.data.u64 >> 20U) {
             continue;
         }
-        const auto handler = it->second.handler;
-        const bool isBroken = (event.events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
-        handler->onReady((event.events & EPOLLIN) != 0, (event.events & EPOLLOUT) != 0, isBroken);
+        callHandler(fd, it->second.generation, event.events);
         runDeferred();
     }
 }
--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -16,6 +16,11 @@
 /** Input is still read for this time after the last response; closing earlier could reset the connection before the
  * caller has received the response. */
 constexpr Milliseconds lingerTime{500};
+/**
+ * A body may take any number of header timeouts as long as this much of it arrives in each: a large body over a slow
+ * link is received, while a caller that sends a byte now and then is not waited for.
+ */
+constexpr std::size_t minBodyBytesPerTimeout = 16 * 1024;
 
 } // namespace
 
@@ -41,7 +46,8 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (m_state == State::ReadingHead && !m_hasHeadBegun) {
+    // Input that the system has received may be a request; it is read in the next round of the loop.
+    if (m_state == State::ReadingHead && !m_hasHeadBegun && !m_stream->hasInputOrEnd()) {
         beginClosing();
     }
 }
@@ -113,6 +119,8 @@
         m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     m_state = State::ReadingBody;
+    m_bodyBytesAtTimer = 0;
+    setTimer(limits.headerTimeout);
 }
 
 void CallerConnection::readBody()
@@ -267,6 +275,9 @@
     m_timer = 0;
     if (m_state == State::Closing) {
         close();
+    } else if (m_state == State::ReadingBody && m_body.size() >= m_bodyBytesAtTimer + minBodyBytesPerTimeout) {
+        m_bodyBytesAtTimer = m_body.size();
+        setTimer(m_handler.limits().headerTimeout);
     } else if (m_state == State::ReadingBody || m_hasHeadBegun) {
         refuse(408);
     } else if (m_state == State::ReadingHead) {
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -78,6 +78,8 @@
     // Whether the first byte of a head has arrived: the header timeout applies then, not the idle timeout.
     bool m_hasHeadBegun = false;
     bool m_isLastRequest = false;
+    // Size of the body at the start of the current timeout.
+    std::size_t m_bodyBytesAtTimer = 0;
     eventloop::TimerId m_timer = 0;
 };
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -462,6 +462,9 @@
     parts.context.metrics.setGauge("magnolia_gateway_open_requests", [&parts] {
         return static_cast<double>(parts.openRequestCount());
     });
+    parts.context.metrics.setGauge("magnolia_gateway_failed_callbacks", [&parts] {
+        return static_cast<double>(parts.loop.failedCallbackCount());
+    });
     parts.context.metrics.setGauge("magnolia_gateway_partitioned", [&parts] {
         return parts.context.path->detector().isPartitioned() ? 1.0 : 0.0;
     });
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
 
 #include <algorithm>
 #include <vector>
@@ -50,9 +51,19 @@
     }
 }
 
+void Listener::acceptWaiting()
+{
+    constexpr int maxAccepted = backlog;
+    for (int i = 0; i < maxAccepted && m_socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ); ++i) {
+        acceptOne();
+    }
+}
+
 void Listener::stopAccepting()
 {
     if (m_isAccepting) {
+        // Closing the socket resets the connections that wait in its queue, whose callers may have sent requests.
+        acceptWaiting();
         m_isAccepting = false;
         m_loop.remove(m_socket.impl()->sockfd());
     }
@@ -110,6 +121,11 @@
         return;
     }
     // Accepts one connection per call: the loop calls again while more are waiting and serves open requests in between.
+    acceptOne();
+}
+
+void Listener::acceptOne()
+{
     try {
         const Poco::Net::StreamSocket socket = m_socket.acceptConnection();
         if (m_connections.size() >= m_maxConnections) {
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -29,11 +29,11 @@
      */
     [[nodiscard]] Result<void> listen(const std::string &address);
     void startAccepting();
-    /** Closes the listening socket; open connections stay open. */
+    /** Accepts the connections that wait in the queue and closes the listening socket; open connections stay open. */
     void stopAccepting();
     /** Closes the listening socket and all connections at once; their requests are cancelled. */
     void closeAll();
-    /** Gracefully closes connections that have no request. */
+    /** Gracefully closes connections that have no request, neither in processing nor received and not yet read. */
     void closeIdleConnections();
     /** Calls onPartitioned() of all requests that are being processed. */
     void notifyPartitioned();
@@ -45,6 +45,9 @@
 
 private:
     friend class CallerConnection;
+    void acceptOne();
+    /** Accepts the connections that wait in the system's queue. */
+    void acceptWaiting();
     void removeConnection(const std::shared_ptr<CallerConnection> &connection);
 
     eventloop::EventLoop &m_loop;
