Fleet: extension messages that the previous build ignores

Cause: two builds run side by side during an upgrade, and the previous one rejects any message with an unknown field. PeerTable keeps the capabilities per run of a peer. The gateway passes records to its parts by tag (ExtensionHandlers); no part uses them yet.

--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -29,6 +29,8 @@
     std::string callerAddress;
     std::string relayAddress;
     std::uint64_t incarnation = 0;
+    /** Set of Capability bits that this instance states. */
+    std::uint64_t capabilities = 0;
 };
 
 class FleetLink : public eventloop::IReadinessHandler, public std::enable_shared_from_this<FleetLink>
@@ -56,6 +58,10 @@
     void announceCrash(CrashRecord crash);
     /** Tells all live peers within `batchDelay` that a request with a suspect of crashes has succeeded. */
     void announceSuccess(std::uint64_t suspect);
+    /** Tells all live peers within `batchDelay` of a fact. Peers of builds without extension messages ignore it. */
+    void announceExtension(const ExtensionRecord &record);
+    /** As `announceExtension`, but only the live peers of the own cell. */
+    void announceExtensionToCell(const ExtensionRecord &record);
     /** Sends a full-state message to all targets at once, for a change of readiness or leaving. */
     void sendFullState();
     /**
@@ -88,9 +94,13 @@
     void sendTo(const PeerAddress &address, const std::string &bytes);
     /** Sends to the live peers of the own cell. */
     void sendToLivePeers(const PeerMessage &message);
+    void sendToLivePeersOfCell(const std::string &bytes);
     void sendToAllLivePeers(const std::string &bytes);
     void flushBatch();
     void flushCrashes();
+    void flushExtensions();
+    /** Returns the datagrams with the given records; at least one, which states the capabilities. */
+    [[nodiscard]] std::vector<std::string> makeExtensionDatagrams(const std::vector<ExtensionRecord> &records);
     void scheduleBatch();
     void sendHeartbeat();
     void probePeers();
@@ -98,6 +108,7 @@
     void updateCellCount();
     void handleDatagram(std::string_view bytes);
     void handleProbe(std::string_view bytes);
+    void handleExtension(std::string_view bytes);
     void scheduleFetch(const Peer &peer);
     /** Returns a live peer of the own data centre that has what `peer` has, or `peer` if there is none. */
     [[nodiscard]] Peer nearestSource(const Peer &peer);
@@ -123,12 +134,15 @@
     // Invariant: has `m_cellCount` entries and counts this instance.
     std::vector<std::size_t> m_cellSizes{1};
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_extensionSequence = 0;
     std::uint64_t m_fullStatesSent = 0;
     std::size_t m_nextAddressIndex = 0;
     std::vector<std::uint64_t> m_decoding;
     std::vector<PlacementEnd> m_ends;
     std::vector<CrashRecord> m_crashes;
     std::set<std::uint64_t> m_succeeded;
+    std::vector<ExtensionRecord> m_extensionsForAll;
+    std::vector<ExtensionRecord> m_extensionsForCell;
     bool m_isBatchScheduled = false;
     bool m_isStopped = false;
     // Peers whose silence was reported to the delegate.
--- a/src/fleet/ifleetdelegate.h
+++ b/src/fleet/ifleetdelegate.h
@@ -1,7 +1,9 @@
 // State that the fleet link requests from its instance, and events that it reports to it.
 #pragma once
 
+#include "fleet/types/extensionmessage.h"
 #include "fleet/types/peermessage.h"
+#include "fleet/types/rejectreason.h"
 #include "framework/global/error.h"
 #include "framework/global/types/time.h"
 #include "published/types/storeitem.h"
@@ -65,6 +67,20 @@
     virtual void onStoreConfirmed(const published::StorePosition &position, MonoTime at) = 0;
     /** Called when a peer has restarted or become silent: its earlier placements may have ended. */
     virtual void onPeerLost(const std::string &instance) = 0;
+
+    /** Returns the current state of the parts, which each full extension message includes. */
+    [[nodiscard]] virtual std::vector<ExtensionRecord> ownExtensionRecords() const
+    {
+        return {};
+    }
+    /** Called with the records of an extension message of a known run of a peer; unknown tags are to be skipped. */
+    virtual void onExtensionRecords(const std::string & /*instance*/, const std::vector<ExtensionRecord> & /*records*/)
+    {
+    }
+    /** Called for each datagram or snapshot that is not used, or not in whole. */
+    virtual void onRejected(RejectReason /*reason*/)
+    {
+    }
 };
 
 } // namespace magnolia::fleet
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -2,6 +2,7 @@
 #include "fleet/fleetlink.h"
 
 #include "fleet/cells.h"
+#include "fleet/extensioncodec.h"
 #include "fleet/internal/fetchdelay.h"
 #include "framework/eventloop/tcpstream.h"
 #include "framework/global/hashing.h"
@@ -14,6 +15,7 @@
 #include <array>
 #include <cstring>
 #include <iterator>
+#include <utility>
 
 namespace magnolia::fleet
 {
@@ -30,7 +32,8 @@
 constexpr std::size_t maxCrashesPerBatch = 64;
 /** Quarantine entries in one full-state message. */
 constexpr std::size_t maxQuarantineRecords = 16;
-/** One in this many full-state messages includes peer addresses; a new peer gets addresses at once. */
+/** One in this many full-state messages includes peer addresses and is followed by a full extension message; a new peer
+ * gets both at once. */
 constexpr std::uint64_t addressExchangePeriod = 8;
 /** Peer addresses in such a message; the next one continues with other peers. */
 constexpr std::size_t addressesPerExchange = 32;
@@ -295,7 +298,11 @@
 
 void FleetLink::sendToLivePeers(const PeerMessage &message)
 {
-    const std::string bytes = peerlink::encode(message);
+    sendToLivePeersOfCell(peerlink::encode(message));
+}
+
+void FleetLink::sendToLivePeersOfCell(const std::string &bytes)
+{
     for (const auto &[name, peer] : m_table.peers()) {
         if (isInOwnCell(name) && !m_table.isSilent(peer, m_loop.now())) {
             sendTo(peer.address, bytes);
@@ -357,6 +364,46 @@
     scheduleBatch();
 }
 
+void FleetLink::announceExtension(const ExtensionRecord &record)
+{
+    m_extensionsForAll.push_back(record);
+    scheduleBatch();
+}
+
+void FleetLink::announceExtensionToCell(const ExtensionRecord &record)
+{
+    m_extensionsForCell.push_back(record);
+    scheduleBatch();
+}
+
+std::vector<std::string> FleetLink::makeExtensionDatagrams(const std::vector<ExtensionRecord> &records)
+{
+    ExtensionMessage header;
+    header.instance = m_settings.instance;
+    header.incarnation = m_settings.incarnation;
+    header.capabilities = m_settings.capabilities;
+    std::vector<std::string> datagrams;
+    for (ExtensionMessage &it : splitIntoMessages(header, records)) {
+        it.sequence = ++m_extensionSequence;
+        datagrams.push_back(encodeExtension(it));
+    }
+    return datagrams;
+}
+
+void FleetLink::flushExtensions()
+{
+    if (!m_extensionsForAll.empty()) {
+        for (const std::string &it : makeExtensionDatagrams(std::exchange(m_extensionsForAll, {}))) {
+            sendToAllLivePeers(it);
+        }
+    }
+    if (!m_extensionsForCell.empty()) {
+        for (const std::string &it : makeExtensionDatagrams(std::exchange(m_extensionsForCell, {}))) {
+            sendToLivePeersOfCell(it);
+        }
+    }
+}
+
 void FleetLink::scheduleBatch()
 {
     if (m_isBatchScheduled) {
@@ -384,6 +431,7 @@
 void FleetLink::flushBatch()
 {
     flushCrashes();
+    flushExtensions();
     if (m_decoding.empty() && m_ends.empty()) {
         return;
     }
@@ -397,9 +445,20 @@
 {
     const std::size_t addressCount = m_fullStatesSent++ % addressExchangePeriod == 0 ? addressesPerExchange : 0;
     const std::string bytes = peerlink::encode(makeFullStateMessage(addressCount, true));
+    std::vector<std::string> extensions;
+    if (addressCount > 0) {
+        extensions = makeExtensionDatagrams(m_delegate.ownExtensionRecords());
+    }
+    // The extension messages follow the full state, as a peer uses them only after it knows their sender.
+    const auto send = [&](const PeerAddress &to, const std::string &fullState) {
+        sendTo(to, fullState);
+        for (const std::string &it : extensions) {
+            sendTo(to, it);
+        }
+    };
     if (m_cellCount == 1) {
         for (const PeerAddress &it : m_table.targets(m_loop.now())) {
-            sendTo(it, bytes);
+            send(it, bytes);
         }
         return;
     }
@@ -411,7 +470,7 @@
     }
     const std::string bytesWithoutPlacements = peerlink::encode(makeFullStateMessage(addressCount, false));
     for (const PeerAddress &it : m_table.targets(m_loop.now())) {
-        sendTo(it, ownCellAddresses.contains(it) ? bytes : bytesWithoutPlacements);
+        send(it, ownCellAddresses.contains(it) ? bytes : bytesWithoutPlacements);
     }
 }
 
@@ -567,11 +626,16 @@
 
 void FleetLink::handleDatagram(std::string_view bytes)
 {
-    // The format follows the byte order mark in both kinds of datagrams.
-    if (bytes.size() > 1 && static_cast<std::uint8_t>(bytes[1]) == ProbeMessage::currentFormat) {
+    // The format follows the byte order mark in all kinds of datagrams.
+    const std::uint8_t format = bytes.size() > 1 ? static_cast<std::uint8_t>(bytes[1]) : 0;
+    if (format == ProbeMessage::currentFormat) {
         handleProbe(bytes);
         return;
     }
+    if (format == ExtensionMessage::currentFormat) {
+        handleExtension(bytes);
+        return;
+    }
     const auto message = peerlink::decode<PeerMessage>(bytes);
     if (!message || message->format != PeerMessage::currentFormat) {
         logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
@@ -591,6 +655,9 @@
         // Without this answer the new peer would have to wait for the next heartbeat.
         sendTo(message->address,
             peerlink::encode(makeFullStateMessage(addressesForNewPeer, isInOwnCell(message->instance))));
+        for (const std::string &it : makeExtensionDatagrams(m_delegate.ownExtensionRecords())) {
+            sendTo(message->address, it);
+        }
     }
     const auto peer = m_table.peers().find(message->instance);
     if (peer != m_table.peers().end()) {
@@ -598,6 +665,18 @@
     }
 }
 
+void FleetLink::handleExtension(std::string_view bytes)
+{
+    const auto message = decodeExtension(bytes);
+    if (!message) {
+        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+        return;
+    }
+    if (m_table.recordExtension(*message)) {
+        m_delegate.onExtensionRecords(message->instance, message->records);
+    }
+}
+
 void FleetLink::scheduleFetch(const Peer &peer)
 {
     const auto delay = fetchDelay(m_delegate.ownState(), peer);
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -7,6 +7,11 @@
 namespace magnolia::fleet
 {
 
+bool Peer::hasCapability(Capability capability) const
+{
+    return (capabilities & static_cast<std::uint64_t>(capability)) != 0;
+}
+
 PeerTable::PeerTable(
     std::string self, PeerAddress ownAddress, std::vector<PeerAddress> seeds, PeerTableParameters parameters)
     : m_self(std::move(self))
@@ -35,9 +40,11 @@
     Peer &peer = m_peers[message.instance];
     // Within one run a peer that leaves never comes back.
     const bool isLeaving = message.isLeaving || (!isNew && peer.isLeaving);
+    const std::uint64_t capabilities = isNew ? 0 : peer.capabilities;
+    const std::uint64_t extensionSequence = isNew ? 0 : peer.extensionSequence;
     peer = Peer{message.instance, message.dataCentre, message.incarnation, message.sequence, message.address,
         message.callerAddress, message.relayAddress, message.isReady, isLeaving, message.isPartitioned,
-        message.configurationVersion, message.storePosition, now};
+        message.configurationVersion, message.storePosition, now, false, capabilities, extensionSequence};
     for (const PeerAddress &it : message.peers) {
         if (it != m_ownAddress && m_reportedAddresses.size() < m_parameters.maxPeers) {
             m_reportedAddresses[it] = now;
@@ -80,6 +87,18 @@
     peer.storePosition = std::max(peer.storePosition, message.storePosition);
 }
 
+bool PeerTable::recordExtension(const ExtensionMessage &message)
+{
+    const auto known = m_peers.find(message.instance);
+    if (known == m_peers.end() || known->second.incarnation != message.incarnation
+        || message.sequence <= known->second.extensionSequence) {
+        return false;
+    }
+    known->second.capabilities = message.capabilities;
+    known->second.extensionSequence = message.sequence;
+    return true;
+}
+
 bool PeerTable::suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt)
 {
     const auto known = m_peers.find(instance);
@@ -167,6 +186,13 @@
     return m_peers;
 }
 
+bool PeerTable::haveAllLivePeers(Capability capability, MonoTime now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
+        return isSilent(it.second, now) || it.second.hasCapability(capability);
+    });
+}
+
 std::size_t PeerTable::liveInstanceCount(MonoTime now) const
 {
     return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &it) {
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -4,6 +4,8 @@
 // sends heartbeats to all others, at an interval that grows with their number.
 #pragma once
 
+#include "fleet/types/capability.h"
+#include "fleet/types/extensionmessage.h"
 #include "fleet/types/peermessage.h"
 #include "fleet/types/probemessage.h"
 #include "framework/global/types/time.h"
@@ -46,6 +48,12 @@
     MonoTime lastHeardAt{};
     /** Whether the peer has acknowledged no ping since it was last heard. */
     bool isSuspected = false;
+    /** Set of Capability bits; empty until this run of the peer has sent an extension message. */
+    std::uint64_t capabilities = 0;
+    /** Sequence number of the last extension message of this run; 0 if there is none. */
+    std::uint64_t extensionSequence = 0;
+
+    [[nodiscard]] bool hasCapability(Capability capability) const;
 };
 
 class PeerTable
@@ -67,6 +75,12 @@
 
     /** Records a ping or an ack of this run of a peer, and what it has of the published state. */
     void recordProbe(const ProbeMessage &message, MonoTime now);
+    /**
+     * Records the capabilities of a peer. Returns whether the records of the message are to be used: false for a run
+     * that is not known and for messages that a later one has overtaken. The message does not count as a sign of life,
+     * so that builds with and without extension messages agree on which peers are silent.
+     */
+    bool recordExtension(const ExtensionMessage &message);
     /** Marks this run of a peer as silent unless it was heard after `failedAt`; returns whether that is new. */
     bool suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt);
 
@@ -87,6 +101,8 @@
     /** Whether a live peer accepts callers and is not partitioned. */
     [[nodiscard]] bool hasSoundPeer(MonoTime now) const;
     [[nodiscard]] const std::map<std::string, Peer> &peers() const;
+    /** Whether all peers that are not silent have the capability; true if there are none. */
+    [[nodiscard]] bool haveAllLivePeers(Capability capability, MonoTime now) const;
     /** Returns the number of peers that are not silent, plus one for this instance. */
     [[nodiscard]] std::size_t liveInstanceCount(MonoTime now) const;
 
--- a/src/fleet/tests/peertabletests.cpp
+++ b/src/fleet/tests/peertabletests.cpp
@@ -127,6 +127,64 @@
     CHECK(table.heartbeatInterval() > intervalForFew);
 }
 
+TEST_CASE("capabilities belong to a run of a peer, and a peer that has stated none has none")
+{
+    PeerTable table = makeTable();
+    ExtensionMessage extension;
+    extension.instance = "2";
+    extension.incarnation = 1;
+    extension.sequence = 1;
+    extension.capabilities = static_cast<std::uint64_t>(Capability::Evacuations) | (std::uint64_t{1} << 60);
+    // An extension message has no address of its sender, so it counts only for a run that is already known.
+    CHECK_FALSE(table.recordExtension(extension));
+    CHECK(table.haveAllLivePeers(Capability::Evacuations, start));
+    table.update(makeMessage("2", 1), start);
+    CHECK_FALSE(table.peers().at("2").hasCapability(Capability::Evacuations));
+    CHECK_FALSE(table.haveAllLivePeers(Capability::Evacuations, start));
+    CHECK(table.recordExtension(extension));
+    CHECK_FALSE(table.recordExtension(extension));
+    CHECK(table.haveAllLivePeers(Capability::Evacuations, start));
+    CHECK_FALSE(table.haveAllLivePeers(Capability::ColdBudgets, start));
+    // Messages of the base protocol keep them.
+    table.update(makeMessage("2", 2), start);
+    CHECK(table.haveAllLivePeers(Capability::Evacuations, start));
+
+    // Rolled back to a build without extension messages.
+    PeerMessage restarted = makeMessage("2", 1);
+    restarted.incarnation = 2;
+    table.update(restarted, start);
+    CHECK_FALSE(table.haveAllLivePeers(Capability::Evacuations, start));
+    extension.sequence = 99;
+    CHECK_FALSE(table.recordExtension(extension));
+    // Upgraded again.
+    restarted.incarnation = 3;
+    table.update(restarted, start);
+    extension.incarnation = 3;
+    extension.sequence = 1;
+    CHECK(table.recordExtension(extension));
+    CHECK(table.haveAllLivePeers(Capability::Evacuations, start));
+}
+
+TEST_CASE("silent peers do not decide whether all live peers have a capability")
+{
+    PeerTable table = makeTable();
+    table.update(makeMessage("2", 1), start);
+    table.update(makeMessage("3", 1), start);
+    ExtensionMessage extension;
+    extension.instance = "3";
+    extension.incarnation = 1;
+    extension.sequence = 1;
+    extension.capabilities = static_cast<std::uint64_t>(Capability::ColdBudgets);
+    CHECK(table.recordExtension(extension));
+    CHECK_FALSE(table.haveAllLivePeers(Capability::ColdBudgets, start));
+    REQUIRE(table.suspect("2", 1, start + Milliseconds(1)));
+    CHECK(table.haveAllLivePeers(Capability::ColdBudgets, start));
+    // An extension message is no sign of life, as builds without them do not see it.
+    extension.sequence = 2;
+    CHECK(table.recordExtension(extension));
+    CHECK(table.peers().at("3").lastHeardAt == start);
+}
+
 TEST_CASE("truncated messages are rejected, and corrupted ones do not crash the decoder")
 {
     Random random(11);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/callerhandler.h"
 #include "gateway/internal/controlhandler.h"
 #include "gateway/internal/crashmonitor.h"
+#include "gateway/internal/extensionhandlers.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/gatewaystatus.h"
 #include "gateway/internal/pathmonitor.h"
@@ -86,6 +87,7 @@
         })
     {
         context.writeMemoryOrder = dependencies.writeMemoryOrder;
+        addExtensionHandlers();
         fleet::FleetLinkSettings linkSettings;
         linkSettings.instance = settings.instance.value();
         linkSettings.dataCentre = settings.dataCentre.value();
@@ -94,6 +96,7 @@
         linkSettings.callerAddress = settings.callerAddress;
         linkSettings.relayAddress = settings.relayAddress;
         linkSettings.incarnation = static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds() / 1000);
+        linkSettings.capabilities = extensionHandlers.capabilities();
         context.fleet = std::make_shared<fleet::FleetLink>(loop, linkSettings, *this);
         context.path->setPartitionListener([this] {
             onPartitionChanged();
@@ -113,7 +116,12 @@
     void onSnapshot(const fleet::Snapshot &snapshot) override;
     void onStoreConfirmed(const published::StorePosition &position, MonoTime at) override;
     void onPeerLost(const std::string &instance) override;
+    [[nodiscard]] std::vector<fleet::ExtensionRecord> ownExtensionRecords() const override;
+    void onExtensionRecords(const std::string &instance, const std::vector<fleet::ExtensionRecord> &records) override;
+    void onRejected(fleet::RejectReason reason) override;
 
+    /** Adds the parts that exchange extension records with peers. */
+    void addExtensionHandlers();
     /** Tells peers and the requests in progress whether this instance can reach upstreams. */
     void onPartitionChanged();
     [[nodiscard]] std::size_t openRequestCount() const;
@@ -134,6 +142,7 @@
     GatewayContext context;
     published::PublishedState publishedState;
     published::StoreReader storeReader;
+    ExtensionHandlers extensionHandlers;
     CallerHandler callerHandler;
     RelayHandler relayHandler;
     ControlHandler controlHandler;
@@ -257,6 +266,27 @@
     context.placements.removeOwner(instance, loop.now());
 }
 
+std::vector<fleet::ExtensionRecord> Gateway::Parts::ownExtensionRecords() const
+{
+    return extensionHandlers.ownRecords();
+}
+
+void Gateway::Parts::onExtensionRecords(const std::string &instance, const std::vector<fleet::ExtensionRecord> &records)
+{
+    extensionHandlers.dispatch(instance, records);
+}
+
+void Gateway::Parts::onRejected(fleet::RejectReason reason)
+{
+    context.metrics.increment(
+        "magnolia_fleet_rejected_datagrams_total", "reason=\"" + std::string(fleet::toString(reason)) + '"');
+}
+
+void Gateway::Parts::addExtensionHandlers()
+{
+    // The parts call extensionHandlers.add() here, with the tags of fleet::extensiontags.
+}
+
 void Gateway::Parts::onPartitionChanged()
 {
     context.fleet->sendFullState();
--- a/src/peerlink/binarycodec.h
+++ b/src/peerlink/binarycodec.h
@@ -15,6 +15,23 @@
 namespace magnolia::peerlink
 {
 
+/** How much the input may differ from the message that the reader knows. */
+enum class DecodeRule {
+    /** The message takes up all of the input. */
+    Exact,
+    /** Bytes after the message are ignored; a later version may have added fields. */
+    IgnoreRest,
+    /** In addition, fields that begin after the end of the input keep their defaults; an earlier version lacks them. */
+    KeepDefaults,
+};
+
+struct DecodeFailure
+{
+    /** Whether the input ends before the message does. */
+    bool isTruncated = false;
+    std::string detail;
+};
+
 template <typename T>
 [[nodiscard]] std::string encode(const T &value)
 {
@@ -25,28 +42,41 @@
 }
 
 /**
- * Decodes a value that takes up all of `bytes`. Memory is bounded by the size of `bytes` times the size of the largest
- * element type, so callers must limit `bytes` first. Error: PeerMessageMalformed (6001).
+ * Decodes a value according to `rule`. Memory is bounded by the size of `bytes` times the size of the largest element
+ * type, so callers must limit `bytes` first.
  */
 template <typename T>
-[[nodiscard]] Result<T> decode(std::string_view bytes)
+[[nodiscard]] tl::expected<T, DecodeFailure> decodeBy(DecodeRule rule, std::string_view bytes)
 {
     if (bytes.empty() || (bytes.front() != '\0' && bytes.front() != '\1')) {
-        return makeError(
-            ResultCode::PeerMessageMalformed, "the message does not start with a byte order mark of 0 or 1");
+        return tl::unexpected(
+            DecodeFailure{bytes.empty(), "the message does not start with a byte order mark of 0 or 1"});
     }
+    T value;
     try {
         Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
         BoundedInputArchive archive(stream, bytes.size());
-        T value;
         archive(value);
-        if (archive.remainingBytes() != 0) {
-            return makeError(ResultCode::PeerMessageMalformed, "the input continues after the end of the message");
+        if (rule == DecodeRule::Exact && archive.remainingBytes() != 0) {
+            return tl::unexpected(DecodeFailure{false, "the input continues after the end of the message"});
+        }
+    } catch (const EndOfInput &ex) {
+        if (rule != DecodeRule::KeepDefaults || !ex.isBetweenFields()) {
+            return tl::unexpected(DecodeFailure{true, ex.what()});
         }
-        return value;
     } catch (const std::exception &ex) {
-        return makeError(ResultCode::PeerMessageMalformed, ex.what());
+        return tl::unexpected(DecodeFailure{false, ex.what()});
     }
+    return value;
+}
+
+/** Decodes a value that takes up all of `bytes`, as `decodeBy`. Error: PeerMessageMalformed (6001). */
+template <typename T>
+[[nodiscard]] Result<T> decode(std::string_view bytes)
+{
+    return decodeBy<T>(DecodeRule::Exact, bytes).map_error([](const DecodeFailure &it) {
+        return Error{ResultCode::PeerMessageMalformed, it.detail};
+    });
 }
 
 } // namespace magnolia::peerlink
--- a/src/peerlink/boundedinputarchive.h
+++ b/src/peerlink/boundedinputarchive.h
@@ -3,15 +3,37 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
+#include <cereal/types/vector.hpp>
 
 #include <cstdint>
 #include <istream>
 #include <memory>
 #include <type_traits>
+#include <vector>
 
 namespace magnolia::peerlink
 {
 
+/** Thrown if the input ends before the value does. */
+class EndOfInput : public cereal::Exception
+{
+public:
+    explicit EndOfInput(bool isBetweenFields)
+        : cereal::Exception("a size field exceeds the remaining input")
+        , m_isBetweenFields(isBetweenFields)
+    {
+    }
+
+    /** Whether the input ends before a number, so that no started string, list or number is incomplete. */
+    [[nodiscard]] bool isBetweenFields() const
+    {
+        return m_isBetweenFields;
+    }
+
+private:
+    bool m_isBetweenFields;
+};
+
 /**
  * cereal's own archive resizes a string or vector to any size that the input specifies, before it reads an element.
  * Each element takes at least one byte, so a size greater than the number of remaining bytes is invalid.
@@ -31,6 +53,9 @@
     template <std::streamsize dataSize>
     void loadBinary(void *data, std::streamsize size)
     {
+        if (m_remainingBytes == 0 && size > 0) {
+            throw EndOfInput(true);
+        }
         checkRemaining(static_cast<std::uint64_t>(size));
         m_inner.template loadBinary<dataSize>(data, size);
         m_remainingBytes -= static_cast<std::uint64_t>(size);
@@ -38,7 +63,7 @@
     void checkRemaining(std::uint64_t size) const
     {
         if (size > m_remainingBytes) {
-            throw cereal::Exception("a size field exceeds the remaining input");
+            throw EndOfInput(false);
         }
     }
     [[nodiscard]] std::uint64_t remainingBytes() const
@@ -88,6 +113,20 @@
     archive.template loadBinary<sizeof(std::remove_pointer_t<T>)>(data.data, static_cast<std::streamsize>(data.size));
 }
 
+// Grows with the elements that are really there. cereal's own function resizes to the stated size first, and a
+// malformed snapshot of 32 MiB could state 32 million items of 88 bytes.
+template <typename T, typename Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(
+    BoundedInputArchive &archive, std::vector<T, Allocator> &values)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    values.clear();
+    for (cereal::size_type i = 0; i < size; ++i) {
+        archive(values.emplace_back());
+    }
+}
+
 } // namespace magnolia::peerlink
 
 // Declares the matching output archive, which cereal needs for minimal save and load functions such as those of enums.
