Fleet: increments in the compact form to peers that read it

Change: instances state a capability, and increments go in the compact form to live peers of the cell that have stated it, in the base format to all others. A new run of a peer gets the base format until it has stated the capability. Bytes sent are counted by format.

--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -2,6 +2,8 @@
 #include "fleet/fleetlink.h"
 
 #include "fleet/cells.h"
+#include "fleet/compactincrement.h"
+#include "fleet/extensioncodec.h"
 #include "fleet/internal/fetchdelay.h"
 #include "framework/eventloop/tcpstream.h"
 #include "framework/global/hashing.h"
@@ -14,6 +16,7 @@
 #include <array>
 #include <cstring>
 #include <iterator>
+#include <utility>
 
 namespace magnolia::fleet
 {
@@ -30,7 +33,8 @@
 constexpr std::size_t maxCrashesPerBatch = 64;
 /** Quarantine entries in one full-state message. */
 constexpr std::size_t maxQuarantineRecords = 16;
-/** One in this many full-state messages includes peer addresses; a new peer gets addresses at once. */
+/** One in this many full-state messages includes peer addresses and is followed by a full extension message; a new peer
+ * gets both at once. */
 constexpr std::uint64_t addressExchangePeriod = 8;
 /** Peer addresses in such a message; the next one continues with other peers. */
 constexpr std::size_t addressesPerExchange = 32;
@@ -283,6 +287,7 @@
 
 void FleetLink::sendTo(const PeerAddress &address, const std::string &bytes)
 {
+    m_delegate.onDatagramSent(static_cast<std::uint8_t>(bytes[1]), bytes.size());
     try {
         m_socket.sendTo(
             bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(address.ip, address.port));
@@ -296,6 +301,16 @@
 void FleetLink::sendToLivePeers(const PeerMessage &message)
 {
     const std::string bytes = peerlink::encode(message);
+    const std::optional<std::string> compact = encodeCompactIncrement(message);
+    for (const auto &[name, peer] : m_table.peers()) {
+        if (isInOwnCell(name) && !m_table.isSilent(peer, m_loop.now())) {
+            sendTo(peer.address, compact && peer.hasCapability(Capability::CompactIncrements) ? *compact : bytes);
+        }
+    }
+}
+
+void FleetLink::sendToLivePeersOfCell(const std::string &bytes)
+{
     for (const auto &[name, peer] : m_table.peers()) {
         if (isInOwnCell(name) && !m_table.isSilent(peer, m_loop.now())) {
             sendTo(peer.address, bytes);
@@ -357,6 +372,46 @@
     scheduleBatch();
 }
 
+void FleetLink::announceExtension(const ExtensionRecord &record)
+{
+    m_extensionsForAll.push_back(record);
+    scheduleBatch();
+}
+
+void FleetLink::announceExtensionToCell(const ExtensionRecord &record)
+{
+    m_extensionsForCell.push_back(record);
+    scheduleBatch();
+}
+
+std::vector<std::string> FleetLink::makeExtensionDatagrams(const std::vector<ExtensionRecord> &records)
+{
+    ExtensionMessage header;
+    header.instance = m_settings.instance;
+    header.incarnation = m_settings.incarnation;
+    header.capabilities = m_settings.capabilities | static_cast<std::uint64_t>(Capability::CompactIncrements);
+    std::vector<std::string> datagrams;
+    for (ExtensionMessage &it : splitIntoMessages(header, records)) {
+        it.sequence = ++m_extensionSequence;
+        datagrams.push_back(encodeExtension(it));
+    }
+    return datagrams;
+}
+
+void FleetLink::flushExtensions()
+{
+    if (!m_extensionsForAll.empty()) {
+        for (const std::string &it : makeExtensionDatagrams(std::exchange(m_extensionsForAll, {}))) {
+            sendToAllLivePeers(it);
+        }
+    }
+    if (!m_extensionsForCell.empty()) {
+        for (const std::string &it : makeExtensionDatagrams(std::exchange(m_extensionsForCell, {}))) {
+            sendToLivePeersOfCell(it);
+        }
+    }
+}
+
 void FleetLink::scheduleBatch()
 {
     if (m_isBatchScheduled) {
@@ -384,6 +439,7 @@
 void FleetLink::flushBatch()
 {
     flushCrashes();
+    flushExtensions();
     if (m_decoding.empty() && m_ends.empty()) {
         return;
     }
@@ -397,9 +453,20 @@
 {
     const std::size_t addressCount = m_fullStatesSent++ % addressExchangePeriod == 0 ? addressesPerExchange : 0;
     const std::string bytes = peerlink::encode(makeFullStateMessage(addressCount, true));
+    std::vector<std::string> extensions;
+    if (addressCount > 0) {
+        extensions = makeExtensionDatagrams(m_delegate.ownExtensionRecords());
+    }
+    // The extension messages follow the full state, as a peer uses them only after it knows their sender.
+    const auto send = [&](const PeerAddress &to, const std::string &fullState) {
+        sendTo(to, fullState);
+        for (const std::string &it : extensions) {
+            sendTo(to, it);
+        }
+    };
     if (m_cellCount == 1) {
         for (const PeerAddress &it : m_table.targets(m_loop.now())) {
-            sendTo(it, bytes);
+            send(it, bytes);
         }
         return;
     }
@@ -411,7 +478,7 @@
     }
     const std::string bytesWithoutPlacements = peerlink::encode(makeFullStateMessage(addressCount, false));
     for (const PeerAddress &it : m_table.targets(m_loop.now())) {
-        sendTo(it, ownCellAddresses.contains(it) ? bytes : bytesWithoutPlacements);
+        send(it, ownCellAddresses.contains(it) ? bytes : bytesWithoutPlacements);
     }
 }
 
@@ -567,37 +634,80 @@
 
 void FleetLink::handleDatagram(std::string_view bytes)
 {
-    // The format follows the byte order mark in both kinds of datagrams.
-    if (bytes.size() > 1 && static_cast<std::uint8_t>(bytes[1]) == ProbeMessage::currentFormat) {
+    // The format follows the byte order mark in all kinds of datagrams.
+    const std::uint8_t format = bytes.size() > 1 ? static_cast<std::uint8_t>(bytes[1]) : 0;
+    if (format == ProbeMessage::currentFormat) {
         handleProbe(bytes);
         return;
     }
+    if (format == ExtensionMessage::currentFormat) {
+        handleExtension(bytes);
+        return;
+    }
+    if (format == compactIncrementFormat) {
+        handleCompactIncrement(bytes);
+        return;
+    }
     const auto message = peerlink::decode<PeerMessage>(bytes);
     if (!message || message->format != PeerMessage::currentFormat) {
         logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
         return;
     }
-    const PeerTable::UpdateResult result = m_table.update(*message, m_loop.now());
+    handlePeerMessage(*message);
+}
+
+void FleetLink::handleCompactIncrement(std::string_view bytes)
+{
+    auto increment = decodeCompactIncrement(bytes);
+    if (!increment) {
+        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+        return;
+    }
+    // Like any increment, it counts only for a peer that is known by a full state.
+    if (const Peer *sender = m_table.findByHash(increment->senderHash)) {
+        increment->message.instance = sender->instance;
+        handlePeerMessage(increment->message);
+    }
+}
+
+void FleetLink::handlePeerMessage(const PeerMessage &message)
+{
+    const PeerTable::UpdateResult result = m_table.update(message, m_loop.now());
     if (result == PeerTable::UpdateResult::Ignored) {
         return;
     }
     if (result == PeerTable::UpdateResult::NewIncarnation) {
         logging::write(logging::Level::Info, "fleet", "peer_started",
-            {{"peer", std::string_view(message->instance)}, {"incarnation", message->incarnation}});
-        m_delegate.onPeerLost(message->instance);
+            {{"peer", std::string_view(message.instance)}, {"incarnation", message.incarnation}});
+        m_delegate.onPeerLost(message.instance);
     }
-    m_delegate.onPeerMessage(*message);
+    m_delegate.onPeerMessage(message);
     if (result == PeerTable::UpdateResult::NewIncarnation) {
         // Without this answer the new peer would have to wait for the next heartbeat.
-        sendTo(message->address,
-            peerlink::encode(makeFullStateMessage(addressesForNewPeer, isInOwnCell(message->instance))));
+        sendTo(message.address,
+            peerlink::encode(makeFullStateMessage(addressesForNewPeer, isInOwnCell(message.instance))));
+        for (const std::string &it : makeExtensionDatagrams(m_delegate.ownExtensionRecords())) {
+            sendTo(message.address, it);
+        }
     }
-    const auto peer = m_table.peers().find(message->instance);
+    const auto peer = m_table.peers().find(message.instance);
     if (peer != m_table.peers().end()) {
         scheduleFetch(peer->second);
     }
 }
 
+void FleetLink::handleExtension(std::string_view bytes)
+{
+    const auto message = decodeExtension(bytes);
+    if (!message) {
+        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+        return;
+    }
+    if (m_table.recordExtension(*message)) {
+        m_delegate.onExtensionRecords(message->instance, message->records);
+    }
+}
+
 void FleetLink::scheduleFetch(const Peer &peer)
 {
     const auto delay = fetchDelay(m_delegate.ownState(), peer);
