--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -1,12 +1,19 @@
 // Implements the table of peers.
 #include "fleet/peertable.h"
 
+#include "framework/global/hashing.h"
+
 #include <algorithm>
 #include <set>
 
 namespace magnolia::fleet
 {
 
+bool Peer::hasCapability(Capability capability) const
+{
+    return (capabilities & static_cast<std::uint64_t>(capability)) != 0;
+}
+
 PeerTable::PeerTable(
     std::string self, PeerAddress ownAddress, std::vector<PeerAddress> seeds, PeerTableParameters parameters)
     : m_self(std::move(self))
@@ -32,12 +39,17 @@
     if (!isNew && (message.incarnation < known->second.incarnation || message.sequence <= known->second.sequence)) {
         return UpdateResult::Ignored;
     }
+    if (known == m_peers.end()) {
+        m_instanceByHash[stableHash(message.instance)] = message.instance;
+    }
     Peer &peer = m_peers[message.instance];
     // Within one run a peer that leaves never comes back.
     const bool isLeaving = message.isLeaving || (!isNew && peer.isLeaving);
+    const std::uint64_t capabilities = isNew ? 0 : peer.capabilities;
+    const std::uint64_t extensionSequence = isNew ? 0 : peer.extensionSequence;
     peer = Peer{message.instance, message.dataCentre, message.incarnation, message.sequence, message.address,
         message.callerAddress, message.relayAddress, message.isReady, isLeaving, message.isPartitioned,
-        message.configurationVersion, message.storePosition, now};
+        message.configurationVersion, message.storePosition, now, false, capabilities, extensionSequence};
     for (const PeerAddress &it : message.peers) {
         if (it != m_ownAddress && m_reportedAddresses.size() < m_parameters.maxPeers) {
             m_reportedAddresses[it] = now;
@@ -80,6 +92,18 @@
     peer.storePosition = std::max(peer.storePosition, message.storePosition);
 }
 
+bool PeerTable::recordExtension(const ExtensionMessage &message)
+{
+    const auto known = m_peers.find(message.instance);
+    if (known == m_peers.end() || known->second.incarnation != message.incarnation
+        || message.sequence <= known->second.extensionSequence) {
+        return false;
+    }
+    known->second.capabilities = message.capabilities;
+    known->second.extensionSequence = message.sequence;
+    return true;
+}
+
 bool PeerTable::suspect(const std::string &instance, std::uint64_t incarnation, MonoTime failedAt)
 {
     const auto known = m_peers.find(instance);
@@ -96,6 +120,9 @@
     std::erase_if(m_peers, [&](const auto &it) {
         return now - it.second.lastHeardAt >= m_parameters.forgetAfter;
     });
+    std::erase_if(m_instanceByHash, [&](const auto &it) {
+        return !m_peers.contains(it.second);
+    });
     std::erase_if(m_reportedAddresses, [&](const auto &it) {
         return now - it.second >= m_parameters.forgetAfter;
     });
@@ -167,6 +194,20 @@
     return m_peers;
 }
 
+const Peer *PeerTable::findByHash(std::uint64_t instanceHash) const
+{
+    const auto name = m_instanceByHash.find(instanceHash);
+    const auto peer = name == m_instanceByHash.end() ? m_peers.end() : m_peers.find(name->second);
+    return peer == m_peers.end() ? nullptr : &peer->second;
+}
+
+bool PeerTable::haveAllLivePeers(Capability capability, MonoTime now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
+        return isSilent(it.second, now) || it.second.hasCapability(capability);
+    });
+}
+
 std::size_t PeerTable::liveInstanceCount(MonoTime now) const
 {
     return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &it) {
