--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -3,6 +3,7 @@
 
 #include "fleet/failuredetector.h"
 #include "fleet/ifleetdelegate.h"
+#include "fleet/internal/rejectionlog.h"
 #include "fleet/peertable.h"
 #include "fleet/types/peermessage.h"
 #include "framework/eventloop/eventloop.h"
@@ -10,6 +11,7 @@
 
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 
 #include <functional>
 #include <memory>
@@ -106,9 +108,12 @@
     void probePeers();
     void reportSilentPeers();
     void updateCellCount();
-    void handleDatagram(std::string_view bytes);
-    void handleProbe(std::string_view bytes);
-    void handleExtension(std::string_view bytes);
+    void handleDatagram(std::string_view bytes, const Poco::Net::SocketAddress &from);
+    void handlePeerMessage(std::string_view bytes, const Poco::Net::SocketAddress &from);
+    void handleProbe(std::string_view bytes, const Poco::Net::SocketAddress &from);
+    void handleExtension(std::string_view bytes, const Poco::Net::SocketAddress &from);
+    /** Counts and logs a datagram or snapshot that is not used. */
+    void reject(RejectReason reason, const Poco::Net::SocketAddress &from);
     void scheduleFetch(const Peer &peer);
     /** Returns a live peer of the own data centre that has what `peer` has, or `peer` if there is none. */
     [[nodiscard]] Peer nearestSource(const Peer &peer);
@@ -145,6 +150,7 @@
     std::vector<ExtensionRecord> m_extensionsForCell;
     bool m_isBatchScheduled = false;
     bool m_isStopped = false;
+    RejectionLog m_rejectionLog;
     // Peers whose silence was reported to the delegate.
     std::set<std::string> m_silentPeers;
 };
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -10,10 +10,13 @@
 #include "peerlink/binarycodec.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/IPAddress.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <array>
-#include <cstring>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -53,6 +56,30 @@
 constexpr std::size_t maxSnapshotSize = 32 * 1024 * 1024;
 constexpr eventloop::TcpTimeouts peerTcpTimeouts{Milliseconds{1000}, Milliseconds{1000}, 2, Milliseconds{1500}};
 
+/** Whether the address is not a name, which would be looked up when something is sent to it and block the event loop.
+ */
+bool isNumeric(const PeerAddress &address)
+{
+    in_addr version4{};
+    Poco::Net::IPAddress parsed;
+    return ::inet_pton(AF_INET, address.ip.c_str(), &version4) == 1
+        || Poco::Net::IPAddress::tryParse(address.ip, parsed);
+}
+
+/** Increments have no addresses. */
+bool hasNumericAddresses(const PeerMessage &message)
+{
+    return (message.callerAddress.empty() || isNumeric(message.address))
+        && std::all_of(message.peers.begin(), message.peers.end(), isNumeric);
+}
+
+/** Returns why a message is not used that was not decoded, or has an address that is not numeric. */
+template <typename T>
+RejectReason reasonOf(const tl::expected<T, peerlink::DecodeFailure> &message)
+{
+    return !message && message.error().isTruncated ? RejectReason::Truncated : RejectReason::Malformed;
+}
+
 } // namespace
 
 /** Sends a snapshot of the published state on each accepted connection. */
@@ -557,11 +584,11 @@
     });
 }
 
-void FleetLink::handleProbe(std::string_view bytes)
+void FleetLink::handleProbe(std::string_view bytes, const Poco::Net::SocketAddress &from)
 {
-    const auto message = peerlink::decode<ProbeMessage>(bytes);
-    if (!message) {
-        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+    const auto message = peerlink::decodeBy<ProbeMessage>(peerlink::DecodeRule::Exact, bytes);
+    if (!message || !isNumeric(message->address)) {
+        reject(reasonOf(message), from);
         return;
     }
     if (const auto ack = m_detector.onMessage(*message, m_table, m_loop.now(), m_random)) {
@@ -608,39 +635,85 @@
 
 void FleetLink::onReady(bool /*isReadable*/, bool /*isWritable*/, bool /*isBroken*/)
 {
-    std::array<char, maxDatagramSize> buf{};
+    // One byte more than allowed shows that a datagram is too large.
+    std::array<char, maxDatagramSize + 1> buf{};
     constexpr int maxDatagramsPerWakeup = 64;
+    Poco::Net::SocketAddress sender;
     for (int i = 0; i < maxDatagramsPerWakeup; ++i) {
+        std::size_t size = 0;
         try {
-            const int n = m_socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
-            if (n <= 0) {
+            const int n = m_socket.receiveFrom(buf.data(), static_cast<int>(buf.size()), sender);
+            if (n < 0) {
                 return;
             }
-            handleDatagram(std::string_view(buf.data(), static_cast<std::size_t>(n)));
+            size = static_cast<std::size_t>(n);
         } catch (const Poco::Exception &) {
             // Reports that an earlier datagram could not be delivered; nothing was received.
             return;
         }
+        try {
+            handleDatagram(std::string_view(buf.data(), size), sender);
+        } catch (const std::exception &ex) {
+            logging::write(
+                logging::Level::Debug, "fleet", "datagram_failed", {{"detail", std::string_view(ex.what())}});
+            reject(RejectReason::Failed, sender);
+        }
     }
 }
 
-void FleetLink::handleDatagram(std::string_view bytes)
+void FleetLink::reject(RejectReason reason, const Poco::Net::SocketAddress &from)
 {
-    // The format follows the byte order mark in all kinds of datagrams.
-    const std::uint8_t format = bytes.size() > 1 ? static_cast<std::uint8_t>(bytes[1]) : 0;
-    if (format == ProbeMessage::currentFormat) {
-        handleProbe(bytes);
+    m_delegate.onRejected(reason);
+    const std::string address = from.toString();
+    if (m_rejectionLog.shouldLog(address, m_loop.now())) {
+        logging::write(logging::Level::Warning, "fleet", "datagram_rejected",
+            {{"from", std::string_view(address)}, {"reason", toString(reason)}});
+    }
+}
+
+void FleetLink::handleDatagram(std::string_view bytes, const Poco::Net::SocketAddress &from)
+{
+    if (bytes.size() > maxDatagramSize) {
+        reject(RejectReason::Oversized, from);
+        return;
+    }
+    if (bytes.size() < 2) {
+        reject(RejectReason::Truncated, from);
         return;
     }
-    if (format == ExtensionMessage::currentFormat) {
-        handleExtension(bytes);
+    if (bytes.front() != '\0' && bytes.front() != '\1') {
+        reject(RejectReason::Malformed, from);
         return;
     }
-    const auto message = peerlink::decode<PeerMessage>(bytes);
-    if (!message || message->format != PeerMessage::currentFormat) {
-        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+    // The format follows the byte order mark in all kinds of datagrams.
+    switch (static_cast<std::uint8_t>(bytes[1])) {
+    case PeerMessage::currentFormat:
+        handlePeerMessage(bytes, from);
+        return;
+    case ProbeMessage::currentFormat:
+        handleProbe(bytes, from);
+        return;
+    case ExtensionMessage::currentFormat:
+        handleExtension(bytes, from);
+        return;
+    default:
+        reject(RejectReason::UnknownVersion, from);
+    }
+}
+
+void FleetLink::handlePeerMessage(std::string_view bytes, const Poco::Net::SocketAddress &from)
+{
+    auto message = peerlink::decodeBy<PeerMessage>(peerlink::DecodeRule::Exact, bytes);
+    if (!message || !hasNumericAddresses(*message)) {
+        reject(reasonOf(message), from);
         return;
     }
+    const auto infinite = std::erase_if(message->limits, [](const UpstreamLimit &it) {
+        return !std::isfinite(it.requestsPerSecond);
+    });
+    if (infinite > 0) {
+        reject(RejectReason::NotFinite, from);
+    }
     const PeerTable::UpdateResult result = m_table.update(*message, m_loop.now());
     if (result == PeerTable::UpdateResult::Ignored) {
         return;
@@ -665,11 +738,11 @@
     }
 }
 
-void FleetLink::handleExtension(std::string_view bytes)
+void FleetLink::handleExtension(std::string_view bytes, const Poco::Net::SocketAddress &from)
 {
     const auto message = decodeExtension(bytes);
     if (!message) {
-        logging::write(logging::Level::Debug, "fleet", "datagram_malformed", {});
+        reject(message.error(), from);
         return;
     }
     if (m_table.recordExtension(*message)) {
@@ -718,12 +791,21 @@
         {{"peer", std::string_view(from.instance)}, {"peer_revision", from.storePosition.revision},
             {"own_revision", own.storePosition.revision}, {"peer_era", from.storePosition.era},
             {"own_era", own.storePosition.era}, {"store_reached", own.isStoreConnected}});
-    m_call = std::make_shared<SnapshotCall>(m_loop, [this](const Result<Snapshot> &snapshot) {
+    const Poco::Net::SocketAddress address(from.address.ip, from.address.port);
+    m_call = std::make_shared<SnapshotCall>(m_loop, [this, address](const Result<Snapshot> &snapshot) {
         m_call.reset();
-        if (snapshot) {
+        if (!snapshot) {
+            m_earliestFetch = m_loop.now() + fetchRetryDelay;
+            if (snapshot.error().code == ResultCode::PeerMessageMalformed) {
+                reject(RejectReason::Snapshot, address);
+            }
+            return;
+        }
+        try {
             m_delegate.onSnapshot(*snapshot);
-        } else {
+        } catch (const std::exception &) {
             m_earliestFetch = m_loop.now() + fetchRetryDelay;
+            reject(RejectReason::Failed, address);
         }
     });
     m_call->start(from.address);
