--- a/tests/soak/gatewayprocess.cpp
+++ b/tests/soak/gatewayprocess.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <fstream>
+#include <utility>
 
 namespace magnolia::soak
 {
@@ -52,6 +53,11 @@
         m_options.workDirectory / (m_options.name + ".err"), m_options.workDirectory / (m_options.name + ".log"));
 }
 
+void GatewayProcess::setBinary(std::string binary)
+{
+    m_options.binary = std::move(binary);
+}
+
 const std::string &GatewayProcess::ip() const
 {
     return m_options.ip;
--- a/tests/soak/gatewayprocess.h
+++ b/tests/soak/gatewayprocess.h
@@ -30,6 +30,8 @@
     explicit GatewayProcess(Options options);
 
     void start();
+    /** Sets the binary of later starts. */
+    void setBinary(std::string binary);
     void sendSignal(int signal);
     [[nodiscard]] bool isRunning();
     /** Returns the instance name and the number of its current start, for example "g2#1". */
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 {
     SoakParameters parameters;
     parameters.binary = args["binary"].as<std::string>();
+    parameters.previousBinary = args["previous-binary"].as<std::string>();
     parameters.workDirectory = std::filesystem::temp_directory_path()
         / ("magnolia-soak-" + std::to_string(::getpid()) + '-' + std::to_string(seed));
     std::filesystem::create_directories(parameters.workDirectory);
@@ -35,6 +36,10 @@
     Soak soak(parameters);
     const Ledger &ledger = soak.run();
     std::cout << "seed " << seed << ": " << soak.faultCount() << " faults, " << ledger.records().size() << " requests";
+    if (!parameters.previousBinary.empty()) {
+        std::cout << ", " << soak.binaryChangeCounts().first << " gateways to the new binary, "
+                  << soak.binaryChangeCounts().second << " back";
+    }
     for (const auto &[outcome, count] : ledger.outcomeCounts()) {
         std::cout << ", " << count << ' ' << outcome;
     }
@@ -50,7 +55,11 @@
         std::cout << "  logs: " << parameters.workDirectory.string() << "\n  repeat with: magnolia-soak --seed " << seed
                   << " --gateways " << parameters.gatewayCount << " --callers " << parameters.callerCount
                   << " --planned-s " << args["planned-s"].as<double>() << " --trouble-s "
-                  << args["trouble-s"].as<double>() << (parameters.hasTimedChecks ? " --timed" : "") << '\n';
+                  << args["trouble-s"].as<double>() << (parameters.hasTimedChecks ? " --timed" : "");
+        if (!parameters.previousBinary.empty()) {
+            std::cout << " --previous-binary " << parameters.previousBinary;
+        }
+        std::cout << '\n';
     }
     std::cout.flush();
     return violations.empty();
@@ -65,8 +74,11 @@
         "examples: magnolia-soak --seed 7 --seeds 50 --timed\n"
         "          magnolia-soak --seed 7 --verbose --keep\n");
     options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "binary", "path of the magnoliastream binary", cxxopts::value<std::string>()->default_value(MAGNOLIA_BINARY))(
+        "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("binary",
+        "path of the magnoliastream binary",
+        cxxopts::value<std::string>()->default_value(MAGNOLIA_BINARY))("previous-binary",
+        "path of a binary on which gateways start; they are replaced by --binary under load and then go back",
+        cxxopts::value<std::string>()->default_value(""))(
         "gateways", "number of gateway processes under test", cxxopts::value<std::size_t>()->default_value("4"))(
         "callers", "number of concurrent callers", cxxopts::value<int>()->default_value("24"))("planned-s",
         "length in seconds of the phase with planned actions only",
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -4,6 +4,8 @@
 #include "framework/global/random.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace magnolia::soak
 {
@@ -17,6 +19,7 @@
 /** Separates the draws of crashing requests from those of the other faults. */
 constexpr std::uint64_t crashSeed = 0x6372617368ULL;
 constexpr std::uint64_t cutSeed = 0x637574ULL;
+constexpr std::uint64_t upgradeSeed = 0x75706772ULL;
 constexpr std::uint64_t maxCuts = 2;
 constexpr Milliseconds minCutDuration{1000};
 constexpr std::uint64_t maxExtraCutMs = 6000;
@@ -130,4 +133,23 @@
     return plan;
 }
 
+std::vector<BinaryChange> makeBinaryChanges(const PlanParameters &parameters, std::size_t gatewayCount)
+{
+    Random random(parameters.seed ^ upgradeSeed);
+    std::vector<std::size_t> order(gatewayCount);
+    std::iota(order.begin(), order.end(), 0);
+    const auto steps = static_cast<std::int64_t>(2 * gatewayCount);
+    const Milliseconds interval = (parameters.plannedPhaseDuration + parameters.faultPhaseDuration) / (steps + 1);
+    std::vector<BinaryChange> changes;
+    for (const bool isUpgrade : {true, false}) {
+        for (std::size_t i = order.size(); i > 1; --i) {
+            std::swap(order[i - 1], order[random.below(i)]);
+        }
+        for (const std::size_t it : order) {
+            changes.push_back({interval * static_cast<std::int64_t>(changes.size() + 1), it, isUpgrade});
+        }
+    }
+    return changes;
+}
+
 } // namespace magnolia::soak
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -70,4 +70,20 @@
 /** Returns the faults in order of time. Equal parameters give equal plans. */
 [[nodiscard]] std::vector<Fault> makePlan(const PlanParameters &parameters);
 
+/** The planned replacement of a gateway's binary: a stop, after which the process is started on the other binary. */
+struct BinaryChange
+{
+    /** Time since the start of traffic. */
+    Milliseconds at{0};
+    std::size_t gateway = 0;
+    /** Whether the gateway goes on with the new binary; otherwise with the previous one. */
+    bool isUpgrade = false;
+};
+
+/**
+ * Returns the changes by which all gateways go one after the other from the previous binary to the new one, and back in
+ * the order that the seed gives. They are spread evenly over both phases.
+ */
+[[nodiscard]] std::vector<BinaryChange> makeBinaryChanges(const PlanParameters &parameters, std::size_t gatewayCount);
+
 } // namespace magnolia::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -112,9 +112,10 @@
     for (std::size_t i = 0; i < m_parameters.gatewayCount; ++i) {
         m_storeLinks.push_back(std::make_shared<Proxy>(m_loop, m_store->address()));
         m_storeLinks.back()->listen(loopbackAddress(storeHost) + ":0");
-        m_gateways.push_back(std::make_unique<GatewayProcess>(
-            GatewayProcess::Options{m_parameters.binary, m_parameters.workDirectory, "g" + std::to_string(i + 1),
-                zoneName(i), loopbackAddress(firstGatewayHost + i), firstPort, m_storeLinks.back()->address(), seeds}));
+        m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcess::Options{
+            m_parameters.previousBinary.empty() ? m_parameters.binary : m_parameters.previousBinary,
+            m_parameters.workDirectory, "g" + std::to_string(i + 1), zoneName(i), loopbackAddress(firstGatewayHost + i),
+            firstPort, m_storeLinks.back()->address(), seeds}));
     }
     std::vector<std::string> versions{"v1"};
     for (const Fault &it : m_plan) {
@@ -158,6 +159,11 @@
     return m_plan.size();
 }
 
+const std::pair<int, int> &Soak::binaryChangeCounts() const
+{
+    return m_binaryChangeCounts;
+}
+
 std::string Soak::nextUpstreamId()
 {
     return "i-" + std::to_string(m_nextId++);
@@ -286,6 +292,13 @@
             applyFault(it);
         });
     }
+    if (!m_parameters.previousBinary.empty()) {
+        for (const BinaryChange &it : makeBinaryChanges(m_parameters.plan, m_gateways.size())) {
+            m_loop.after(it.at, [this, it] {
+                applyBinaryChange(it);
+            });
+        }
+    }
     m_loop.after(m_parameters.plan.plannedPhaseDuration + m_parameters.plan.faultPhaseDuration + recoveryTime, [this] {
         killAllForFinalCheck();
     });
@@ -328,22 +341,47 @@
     }
 }
 
-void Soak::applyGatewayFault(const Fault &fault)
+bool Soak::stopGateway(GatewayProcess &gateway)
 {
-    GatewayProcess &gateway = *m_gateways[fault.targetNumber % m_gateways.size()];
     const auto servingCount = std::count_if(m_gateways.begin(), m_gateways.end(), [](const auto &it) {
         return it->isRunning() && !it->isStopping && !it->isPaused;
     });
+    if (gateway.isStopping || static_cast<std::size_t>(servingCount) <= minRemaining) {
+        return false;
+    }
+    gateway.isStopping = true;
+    m_ledger.recordOutOfTouch(gateway.processName(), m_loop.now(), MonoTime::max() - outOfTouchMargin);
+    gateway.sendSignal(SIGTERM);
+    return true;
+}
+
+void Soak::applyBinaryChange(const BinaryChange &change)
+{
+    GatewayProcess &gateway = *m_gateways[change.gateway];
+    gateway.setBinary(change.isUpgrade ? m_parameters.binary : m_parameters.previousBinary);
+    // A process that has ended or is stopping is started on the new binary anyway.
+    if (gateway.isRunning() && !gateway.isStopping && (gateway.isPaused || !stopGateway(gateway))) {
+        m_loop.after(restartCheckInterval, [this, change] {
+            applyBinaryChange(change);
+        });
+        return;
+    }
+    if (m_parameters.isVerbose) {
+        std::cout << "  " << gateway.processName()
+                  << (change.isUpgrade ? " goes on with the new binary\n" : " goes back to the previous binary\n");
+    }
+    ++(change.isUpgrade ? m_binaryChangeCounts.first : m_binaryChangeCounts.second);
+}
+
+void Soak::applyGatewayFault(const Fault &fault)
+{
+    GatewayProcess &gateway = *m_gateways[fault.targetNumber % m_gateways.size()];
     if (!gateway.isRunning() || gateway.isPaused) {
         return;
     }
     switch (fault.action) {
     case Action::StopGateway:
-        if (!gateway.isStopping && static_cast<std::size_t>(servingCount) > minRemaining) {
-            gateway.isStopping = true;
-            m_ledger.recordOutOfTouch(gateway.processName(), m_loop.now(), MonoTime::max() - outOfTouchMargin);
-            gateway.sendSignal(SIGTERM);
-        }
+        stopGateway(gateway);
         return;
     case Action::ReloadGateway:
         gateway.sendSignal(SIGHUP);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnolia::httpclient
@@ -29,6 +30,9 @@
 struct SoakParameters
 {
     std::string binary;
+    /** If set, gateways start on this binary, are replaced by `binary` one after the other, and go back in the same
+     * way. */
+    std::string previousBinary;
     std::filesystem::path workDirectory;
     PlanParameters plan;
     std::size_t gatewayCount = 4;
@@ -50,12 +54,17 @@
     /** Executes the run and returns the ledger with its records and violations. */
     const Ledger &run();
     [[nodiscard]] std::size_t faultCount() const;
+    /** Returns how many processes were started on the new binary and on the previous one after the first start. */
+    [[nodiscard]] const std::pair<int, int> &binaryChangeCounts() const;
 
 private:
     void publishConfiguration();
     void runWhenAllReady(const std::string &guarantee, std::function<void()> then);
     void startTraffic();
     void applyFault(const Fault &fault);
+    void applyBinaryChange(const BinaryChange &change);
+    /** Stops a gateway as planned; does nothing if too few others serve. Returns whether it has been stopped. */
+    bool stopGateway(GatewayProcess &gateway);
     void applyGatewayFault(const Fault &fault);
     void applyStoreFault(const Fault &fault);
     void applyUpstreamFault(const Fault &fault);
@@ -97,6 +106,8 @@
     std::vector<std::string> m_addresses;
     std::set<std::string> m_activeKeys;
     std::vector<Fault> m_plan;
+    // Planned stops that were followed by a start on the new and on the previous binary.
+    std::pair<int, int> m_binaryChangeCounts;
     std::uint64_t m_version = 1;
     int m_nextId = 1;
     std::size_t m_nextDirectoryNumber = 0;
