--- a/src/gateway/internal/coldrecord.cpp
+++ b/src/gateway/internal/coldrecord.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <exception>
 
 namespace magnolia::gateway
 {
@@ -33,21 +32,14 @@
 
 std::optional<ColdRecord> decodeColdRecord(std::string_view bytes)
 {
-    if (bytes.empty() || (bytes.front() != '\0' && bytes.front() != '\1')) {
-        return std::nullopt;
-    }
-    try {
-        Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        peerlink::BoundedInputArchive archive(stream, bytes.size());
-        ColdRecord record;
-        archive(record);
-        std::erase_if(record.silentInstances, [](const SilentInstanceRecord &it) {
-            return it.instance.empty() || it.instance.size() > maxNameBytes;
-        });
-        return record;
-    } catch (const std::exception &) {
+    auto record = peerlink::decodeBy<ColdRecord>(peerlink::DecodeRule::IgnoreRest, bytes);
+    if (!record) {
         return std::nullopt;
     }
+    std::erase_if(record->silentInstances, [](const SilentInstanceRecord &it) {
+        return it.instance.empty() || it.instance.size() > maxNameBytes;
+    });
+    return std::move(*record);
 }
 
 } // namespace magnolia::gateway
--- a/src/gateway/internal/coldrecord.h
+++ b/src/gateway/internal/coldrecord.h
@@ -44,9 +44,6 @@
 
 struct ColdRecord
 {
-    /** Tag of the record in an extension message. */
-    static constexpr std::uint16_t tag = 1;
-
     std::vector<ColdUpstreamRecord> upstreams;
     std::vector<SilentInstanceRecord> silentInstances;
 
--- a/src/gateway/tests/coldupstreamtests.cpp
+++ b/src/gateway/tests/coldupstreamtests.cpp
@@ -1,5 +1,6 @@
 // Tests of the budgets of cold upstreams in the gateway: which upstreams count as cold, and what is sent to them.
 #include "gatewayfixture.h"
+#include "gatewayfleet.h"
 
 #include "framework/httpwire/types/messagehead.h"
 #include "gateway/internal/coldrecord.h"
@@ -395,3 +396,62 @@
     fixture.settings.coldRatio.reset();
     CHECK(statusJson(fixture.context, state, {"ready", true, 0}).find("cold_ms") == std::string::npos);
 }
+
+TEST_CASE("what one instance learns of a cold upstream reaches its peers, and together they keep the budget")
+{
+    GatewayFleet fleet({"a", "a", "a"});
+    fleet.setColdBudget(2);
+    constexpr double bound = 2 * 1.5 + 5;
+    std::vector<MonoTime> arrivals;
+    fleet.addUpstream("app", [&](Connection &connection, const std::string &request, int /*number*/) {
+        arrivals.push_back(fleet.loop.now());
+        connection.send(plainResponse(request, 200, "ok", "Response-Signature: s\r\nCold: 5000\r\n"));
+    });
+    fleet.start();
+    // The view of an instance is settled three seconds after its start.
+    fleet.runFor(Milliseconds(3500));
+    CHECK(fleet.run(0, "first", "/safe/x")->status() == 200);
+    const auto coldMs = [&](std::size_t gateway) {
+        const nlohmann::json status = fleet.status(gateway);
+        return status["upstreams"][0].value("cold_ms", std::int64_t{-1});
+    };
+    CHECK(fleet.runUntil([&] {
+        return coldMs(1) > 0 && coldMs(2) > 0;
+    }));
+    std::vector<std::shared_ptr<FleetCaller>> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.push_back(
+            fleet.send(static_cast<std::size_t>(i) % 3, "id-" + std::to_string(i), "/safe/x", {}, "1000"));
+        fleet.runFor(Milliseconds(10));
+    }
+    fleet.runUntil([&] {
+        return std::all_of(callers.begin(), callers.end(), [](const auto &it) {
+            return it->isComplete() || it->hasEnded;
+        });
+    });
+    std::size_t refused = 0;
+    for (const auto &it : callers) {
+        refused += it->status() == 503 ? 1 : 0;
+        CHECK((it->status() == 503 || it->status() == 200));
+    }
+    CHECK(refused > 0);
+    // Each of the three may send one request in 1.1 s.
+    CHECK(arrivals.size() > 3);
+    std::size_t most = 0;
+    for (const MonoTime begin : arrivals) {
+        most
+            = std::max(most, static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](MonoTime it) {
+                  return it >= begin && it - begin < std::chrono::seconds(1);
+              })));
+    }
+    CHECK(static_cast<double>(most) <= bound);
+}
+
+TEST_CASE("an instance without budgets of cold upstreams states nothing about them")
+{
+    GatewayFleet fleet({"a", "a"});
+    fleet.addUpstream("app", respondCold);
+    fleet.start();
+    CHECK(fleet.run(0, "first", "/safe/x")->status() == 200);
+    CHECK_FALSE(fleet.status(0)["upstreams"][0].contains("cold_ms"));
+}
--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -134,7 +134,10 @@
     {
         catalogue::Catalogue result;
         result.version = 1;
-        result.services["app"].name = "app";
+        catalogue::Service &app = result.services["app"];
+        app.name = "app";
+        app.coldRequestsPerSecond = coldRequestsPerSecond;
+        app.coldTime = Milliseconds(coldRequestsPerSecond > 0 ? 3000 : 0);
         catalogue::Service &engineService = result.services["engine"];
         engineService.name = "engine";
         catalogue::EngineModel engine;
@@ -161,6 +164,7 @@
     }
 
     GatewaySettings settings;
+    double coldRequestsPerSecond = 0;
     std::vector<std::string> services;
     std::vector<std::shared_ptr<ScriptedUpstream>> upstreams;
     std::unique_ptr<FixedStore> store;
@@ -210,6 +214,16 @@
     }
 }
 
+void GatewayFleet::setColdBudget(double requestsPerSecond)
+{
+    for (const auto &it : m_instances) {
+        it->coldRequestsPerSecond = requestsPerSecond;
+        it->settings.coldRatio = 1.5;
+        it->settings.coldSlack = 5;
+        it->settings.names.upstreamCold = "Cold";
+    }
+}
+
 void GatewayFleet::start()
 {
     std::uint64_t seed = 3;
