--- a/src/gateway/internal/coldupstreams.cpp
+++ b/src/gateway/internal/coldupstreams.cpp
@@ -111,13 +111,6 @@
     }
 }
 
-void ColdUpstreams::onPathFailed(placement::UpstreamKey upstream)
-{
-    if (const KnownUpstream *known = m_context.upstreams.find(upstream)) {
-        (void)m_table.clearUnreachable(upstream, known->entry.startedAt);
-    }
-}
-
 void ColdUpstreams::onPublished(
     const std::map<std::string, published::PublishedState::UpstreamRecord> &upstreams, bool areRunsComplete)
 {
--- a/src/gateway/internal/coldupstreams.h
+++ b/src/gateway/internal/coldupstreams.h
@@ -46,9 +46,8 @@
     void onAnswer(placement::UpstreamKey upstream, Milliseconds remaining);
     /** Records that an upstream was reached, and is cold from now on if it could not be reached before. */
     void onReached(placement::UpstreamKey upstream);
+    /** Records that an upstream could not be reached while others could, so that its state is not known. */
     void onUnreachable(placement::UpstreamKey upstream);
-    /** Forgets that an upstream could not be reached, because the path to all of them had failed. */
-    void onPathFailed(placement::UpstreamKey upstream);
     /**
      * Reads the published upstreams. `areRunsComplete` tells whether all runs were known before this change, so that a
      * run that is new now has just started.
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -1,6 +1,7 @@
 // Handles failed and silent attempts, and completes requests.
 #include "framework/httpwire/messagewriter.h"
 #include "framework/logging/log.h"
+#include "gateway/internal/coldupstreams.h"
 #include "gateway/internal/crashmonitor.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/exchangelimits.h"
@@ -314,6 +315,7 @@
     }
     if (isPathSound && !isRelaying()) {
         recordAttemptOutcome(m_context, m_decision.primary, outliers::AttemptOutcome::Unreachable);
+        m_context.cold->onUnreachable(m_decision.primary);
     }
     // Silence alone does not end an attempt: if the request cannot continue elsewhere, the attempt goes on until its
     // connection ends.
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -253,6 +253,7 @@
                 const KnownUpstream *knownUpstream = m_context.upstreams.find(helper);
                 if (knownUpstream != nullptr && knownUpstream->entry.address == fault) {
                     recordAttemptOutcome(m_context, helper, outliers::AttemptOutcome::Unreachable);
+                    m_context.cold->onUnreachable(helper);
                 }
             }
         }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -244,6 +244,9 @@
             && it.outcome <= static_cast<std::uint8_t>(outliers::AttemptOutcome::Refused)) {
             recordAttemptOutcome(
                 context, it.upstream, static_cast<outliers::AttemptOutcome>(it.outcome), message.instance);
+            if (it.outcome == static_cast<std::uint8_t>(outliers::AttemptOutcome::Unreachable)) {
+                context.cold->onUnreachable(it.upstream);
+            }
         }
     }
 }
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -137,9 +137,6 @@
     const MonoTime now = context.loop.now();
     const bool wasExcluded = context.outliers.isExcluded(upstream, now);
     context.outliers.recordOutcome(upstream, attemptOutcome, othersFailureShare, now);
-    if (attemptOutcome == outliers::AttemptOutcome::Unreachable) {
-        context.cold->onUnreachable(upstream);
-    }
     if (!wasExcluded && context.outliers.isExcluded(upstream, now)) {
         logging::write(logging::Level::Info, "gateway", "upstream_left_out",
             {{"upstream", std::string_view(context.upstreams.idOf(upstream))}, {"told_by", toldBy},
--- a/src/gateway/internal/pathmonitor.cpp
+++ b/src/gateway/internal/pathmonitor.cpp
@@ -119,7 +119,6 @@
     logging::write(logging::Level::Warning, "gateway", "upstreams_unreachable", {{"failed", failed}});
     for (const placement::UpstreamKey it : std::exchange(m_unconfirmed, {})) {
         m_context.outliers.forget(it);
-        m_context.cold->onPathFailed(it);
     }
     answerWaiters(false);
     probeWhilePartitioned();
@@ -160,11 +159,13 @@
     if (finding == PathFinding::PathFailed) {
         if (isUnconfirmed) {
             m_context.outliers.forget(upstream);
-            m_context.cold->onPathFailed(upstream);
         }
         return;
     }
     if (finding == PathFinding::UpstreamFailed && !m_detector.wasPartitionedSince(sentAt)) {
+        if (outcome == outliers::AttemptOutcome::Unreachable) {
+            m_context.cold->onUnreachable(upstream);
+        }
         m_context.fleet->announceEvidence(upstream, static_cast<std::uint8_t>(outcome));
     }
 }
--- a/src/gateway/tests/coldupstreamtests.cpp
+++ b/src/gateway/tests/coldupstreamtests.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/coldrecord.h"
 #include "gateway/internal/coldupstreams.h"
 #include "gateway/internal/gatewaystatus.h"
+#include "gateway/internal/pathmonitor.h"
 #include "outliers/types/attemptoutcome.h"
 
 #include <catch2/catch.hpp>
@@ -217,6 +218,9 @@
     fixture.runRequest(fixture.makeRoute(RouteKind::Idempotent));
     CHECK(fixture.response.head.status == 200);
     // It may have become cold unobserved, so that it is not tried by all at once.
+    fixture.runUntil([&] {
+        return fixture.coldTimeLeft(2) > Milliseconds(0);
+    });
     REQUIRE(fixture.coldTimeLeft(2) > Milliseconds(3000));
     CHECK(announced.empty());
     upstream.resumeListening();
@@ -243,14 +247,27 @@
     CHECK(announced.size() == 1);
 }
 
-TEST_CASE("an upstream is not cold after the path to all upstreams has failed")
+TEST_CASE("upstreams are not cold after this instance was cut from all of them")
 {
     ColdFixture fixture;
     fixture.addUpstream("service", respondOk);
-    fixture.context.cold->onUnreachable(ColdFixture::keyOf(1));
-    fixture.context.cold->onPathFailed(ColdFixture::keyOf(1));
-    fixture.context.cold->onReached(ColdFixture::keyOf(1));
+    fixture.addUpstream("service", respondOk);
+    for (const auto &it : fixture.upstreams) {
+        it->stopListening();
+    }
+    fixture.runRequest(fixture.makeRoute(RouteKind::Idempotent));
+    fixture.runUntil([&] {
+        return fixture.context.path->detector().isPartitioned();
+    });
+    REQUIRE(fixture.context.path->detector().isPartitioned());
+    for (const auto &it : fixture.upstreams) {
+        it->resumeListening();
+    }
+    fixture.runUntil([&] {
+        return !fixture.context.path->detector().isPartitioned();
+    });
     CHECK(fixture.coldTimeLeft(1) == Milliseconds(0));
+    CHECK(fixture.coldTimeLeft(2) == Milliseconds(0));
 }
 
 TEST_CASE("a resumption of a stream counts against the budget of a cold upstream")
