--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/gatewaycontext.h"
 
 #include "framework/logging/log.h"
+#include "gateway/internal/coldupstreams.h"
 #include "gateway/internal/crashmonitor.h"
 #include "gateway/internal/pathmonitor.h"
 #include "placement/enginecost.h"
@@ -49,6 +50,7 @@
     , random(seed)
     , path(std::make_unique<PathMonitor>(*this))
     , crashes(std::make_unique<CrashMonitor>(*this))
+    , cold(std::make_unique<ColdUpstreams>(*this, theLoop.now()))
 {
 }
 
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -59,6 +59,11 @@
 
     /** Adds an upstream of the engine service "engine" or of the plain service "app"; call it before start(). */
     void addUpstream(const std::string &service, const ScriptedUpstream::Script &script);
+    /**
+     * Gives the service "app" a budget for cold upstreams of `requestsPerSecond` x 1.5 + 5 requests in a second, and a
+     * cold time of 3 s. Answers state the remaining time in the field "Cold". Call it before start().
+     */
+    void setColdBudget(double requestsPerSecond);
     /** Starts all gateways and waits until they are ready and know each other. */
     void start();
     void cut(std::size_t gateway, Cut cut);
