Published: evacuations of data centres as items with positions

Cause: nothing reads the operator's items below op/evacuate/, so requests reach an evacuated data centre for as long as it is evacuated. Outdated items change nothing, a full read ends what it does not return, and an evacuation that an older copy of the store lacks holds on for 5 s. applyEvacuation() takes statements of peers without raising the position.

--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -85,6 +85,14 @@
         result.slots = 4;
         return result;
     }
+    DataCentreId evacuatedDataCentre(const std::string &key) const override
+    {
+        return DataCentreId(key);
+    }
+    std::string evacuationKey(const DataCentreId &dataCentre) const override
+    {
+        return dataCentre.value();
+    }
 
 private:
     std::string m_address;
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -2,7 +2,7 @@
 #include "published/publishedstate.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace magnolia::published
 {
@@ -12,6 +12,8 @@
 
 /** Removed keys that are remembered, so that an outdated item from a peer does not restore one. */
 constexpr std::size_t maxRemovedKeys = 4096;
+/** Ends of evacuations that are remembered for the same reason; the earliest is forgotten first. */
+constexpr std::size_t maxEvacuationEnds = 256;
 
 } // namespace
 
@@ -19,6 +21,7 @@
 {
     hasNewConfiguration = hasNewConfiguration || other.hasNewConfiguration;
     hasChangedUpstreams = hasChangedUpstreams || other.hasChangedUpstreams;
+    hasChangedEvacuations = hasChangedEvacuations || other.hasChangedEvacuations;
 }
 
 PublishedState::PublishedState(const IItemDecoder &decoder, PublishedStateParameters parameters)
@@ -35,6 +38,8 @@
         return item.isDeleted ? ChangeFlags{} : applyConfiguration(item);
     case IItemDecoder::ItemKind::Upstream:
         return item.isDeleted ? removeUpstream(item.key, item.position(), now) : applyUpstream(item, now);
+    case IItemDecoder::ItemKind::Evacuation:
+        return applyEvacuation(m_decoder.evacuatedDataCentre(item.key), item.position(), item.isDeleted, now);
     case IItemDecoder::ItemKind::Other:
         break;
     }
@@ -153,11 +158,90 @@
     for (const std::string &key : missing) {
         flags.add(removeUpstream(key, position, now));
     }
+    flags.add(endMissingEvacuations(present, position, now));
+    m_readPosition = std::max(m_readPosition.value_or(position), position);
     m_position = std::max(m_position, position);
     m_isComplete = true;
     return flags;
 }
 
+PublishedState::ChangeFlags PublishedState::applyEvacuation(
+    const DataCentreId &dataCentre, const StorePosition &position, bool isEnded, MonoTime now)
+{
+    if (isEnded) {
+        return endEvacuation(dataCentre, position);
+    }
+    const auto end = m_evacuationEnds.find(dataCentre);
+    if (end != m_evacuationEnds.end() && position <= end->second) {
+        return {};
+    }
+    const auto known = m_evacuations.find(dataCentre);
+    if (known != m_evacuations.end()) {
+        if (position > known->second.position) {
+            const bool isStillMissing = known->second.endsAt && position <= known->second.missingAt;
+            known->second.position = position;
+            if (!isStillMissing) {
+                known->second.endsAt.reset();
+            }
+        }
+        return {};
+    }
+    Evacuation evacuation{position, std::nullopt, {}};
+    if (m_readPosition && position <= *m_readPosition) {
+        if (position.era == m_readPosition->era) {
+            // The item was deleted before this instance read the store.
+            return {};
+        }
+        evacuation.endsAt = now + m_parameters.lostEvacuationHold;
+        evacuation.missingAt = *m_readPosition;
+    }
+    m_evacuations.emplace(dataCentre, evacuation);
+    ChangeFlags flags;
+    flags.hasChangedEvacuations = true;
+    return flags;
+}
+
+PublishedState::ChangeFlags PublishedState::endEvacuation(const DataCentreId &dataCentre, const StorePosition &position)
+{
+    const auto known = m_evacuations.find(dataCentre);
+    if (known != m_evacuations.end() && position < known->second.position) {
+        return {};
+    }
+    StorePosition &end = m_evacuationEnds[dataCentre];
+    end = std::max(end, position);
+    if (m_evacuationEnds.size() > maxEvacuationEnds) {
+        m_evacuationEnds.erase(
+            std::min_element(m_evacuationEnds.begin(), m_evacuationEnds.end(), [](const auto &a, const auto &b) {
+                return a.second < b.second;
+            }));
+    }
+    ChangeFlags flags;
+    flags.hasChangedEvacuations = m_evacuations.erase(dataCentre) > 0;
+    return flags;
+}
+
+PublishedState::ChangeFlags PublishedState::endMissingEvacuations(
+    const std::set<std::string> &present, const StorePosition &position, MonoTime now)
+{
+    std::vector<DataCentreId> ended;
+    for (auto &[dataCentre, it] : m_evacuations) {
+        if (present.contains(m_decoder.evacuationKey(dataCentre)) || it.position > position) {
+            continue;
+        }
+        if (it.position.era == position.era) {
+            ended.push_back(dataCentre);
+        } else if (!it.endsAt) {
+            it.endsAt = now + m_parameters.lostEvacuationHold;
+            it.missingAt = position;
+        }
+    }
+    ChangeFlags flags;
+    for (const DataCentreId &dataCentre : ended) {
+        flags.add(endEvacuation(dataCentre, position));
+    }
+    return flags;
+}
+
 void PublishedState::onStoreReconnected(MonoTime now)
 {
     m_leaseGraceUntil = now + m_parameters.leaseGrace;
@@ -176,6 +260,15 @@
             ++it;
         }
     }
+    std::vector<std::pair<DataCentreId, StorePosition>> lostEvacuations;
+    for (const auto &[dataCentre, it] : m_evacuations) {
+        if (it.endsAt && now >= *it.endsAt) {
+            lostEvacuations.emplace_back(dataCentre, it.missingAt);
+        }
+    }
+    for (const auto &[dataCentre, position] : lostEvacuations) {
+        flags.add(endEvacuation(dataCentre, position));
+    }
     for (auto it = m_restored.begin(); it != m_restored.end();) {
         if (now < it->second.usableFrom) {
             ++it;
@@ -199,6 +292,26 @@
     return m_upstreams;
 }
 
+const std::map<DataCentreId, PublishedState::Evacuation> &PublishedState::evacuations() const
+{
+    return m_evacuations;
+}
+
+std::vector<PublishedState::EvacuationEnd> PublishedState::endedEvacuations() const
+{
+    std::vector<EvacuationEnd> ends;
+    ends.reserve(m_evacuationEnds.size());
+    for (const auto &[dataCentre, position] : m_evacuationEnds) {
+        if (!m_evacuations.contains(dataCentre)) {
+            ends.push_back({dataCentre, position});
+        }
+    }
+    std::sort(ends.begin(), ends.end(), [](const EvacuationEnd &a, const EvacuationEnd &b) {
+        return a.position > b.position;
+    });
+    return ends;
+}
+
 std::vector<StoreItem> PublishedState::items() const
 {
     std::vector<StoreItem> items;
@@ -212,6 +325,14 @@
     for (const auto &[key, removal] : m_removals) {
         items.push_back(StoreItem{key, {}, removal.position.revision, true, removal.position.era});
     }
+    for (const auto &[dataCentre, it] : m_evacuations) {
+        items.push_back(
+            StoreItem{m_decoder.evacuationKey(dataCentre), "{}", it.position.revision, false, it.position.era});
+    }
+    for (const EvacuationEnd &it : endedEvacuations()) {
+        items.push_back(
+            StoreItem{m_decoder.evacuationKey(it.dataCentre), {}, it.position.revision, true, it.position.era});
+    }
     return items;
 }
 
--- a/src/published/tests/publishedstatetests.cpp
+++ b/src/published/tests/publishedstatetests.cpp
@@ -11,14 +11,21 @@
 namespace
 {
 
+const std::string evacuationPrefix = "evacuate ";
 const MonoTime start{std::chrono::seconds(100)};
 
-/** Decodes "c" as a configuration version, and "ready" or "leaving", perhaps with a start time, as an upstream. */
+/**
+ * Decodes "c" as a configuration version, and "ready" or "leaving", perhaps with a start time, as an upstream. Items at
+ * "evacuate DATACENTRE" are evacuations.
+ */
 class FakeDecoder : public IItemDecoder
 {
 public:
     ItemKind kindOf(const std::string &key) const override
     {
+        if (key.starts_with(evacuationPrefix)) {
+            return ItemKind::Evacuation;
+        }
         return key == "c" ? ItemKind::Configuration : key == "x" ? ItemKind::Other : ItemKind::Upstream;
     }
     std::optional<catalogue::Catalogue> decodeConfiguration(const StoreItem &item) const override
@@ -41,6 +48,14 @@
         decoded.startedAt = startedAt;
         return decoded;
     }
+    DataCentreId evacuatedDataCentre(const std::string &key) const override
+    {
+        return DataCentreId(key.substr(evacuationPrefix.size()));
+    }
+    std::string evacuationKey(const DataCentreId &dataCentre) const override
+    {
+        return evacuationPrefix + dataCentre.value();
+    }
 };
 
 } // namespace
@@ -235,3 +250,141 @@
     CHECK_FALSE(state.upstreams().contains("u"));
     CHECK(state.upstreams().contains("v"));
 }
+
+TEST_CASE("an evacuation is in force from its item on until the item is deleted")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    CHECK(state.apply({"evacuate a", "{}", 5, false}, start).hasChangedEvacuations);
+    CHECK(state.apply({"evacuate b", "", 6, false}, start).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 2);
+    // Writing the item again changes nothing.
+    CHECK_FALSE(state.apply({"evacuate a", "{}", 7, false}, start).hasChangedEvacuations);
+    CHECK(state.apply({"evacuate a", "", 8, true}, start).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 1);
+    CHECK(state.evacuations().contains(DataCentreId("b")));
+    CHECK(state.upstreams().empty());
+}
+
+TEST_CASE("outdated items neither start nor end an evacuation")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.apply({"evacuate a", "{}", 5, false}, start);
+    CHECK_FALSE(state.apply({"evacuate a", "", 4, true}, start).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 1);
+    state.apply({"evacuate a", "", 8, true}, start);
+    CHECK_FALSE(state.apply({"evacuate a", "{}", 5, false}, start).hasChangedEvacuations);
+    CHECK_FALSE(state.applyEvacuation(DataCentreId("a"), {0, 8}, false, start).hasChangedEvacuations);
+    CHECK(state.evacuations().empty());
+    CHECK(state.apply({"evacuate a", "{}", 9, false}, start).hasChangedEvacuations);
+}
+
+TEST_CASE("a full read ends the evacuations that it does not return")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"evacuate a", "{}", 5, false}, {"evacuate b", "{}", 6, false}}, {0, 10}, start);
+    CHECK(state.evacuations().size() == 2);
+    CHECK(state.applyAll({{"evacuate b", "{}", 6, false}}, {0, 20}, start).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 1);
+    CHECK(state.evacuations().contains(DataCentreId("b")));
+    // An item that was written after the read began is not ended by it.
+    state.apply({"evacuate a", "{}", 30, false}, start);
+    CHECK_FALSE(state.applyAll({{"evacuate b", "{}", 6, false}}, {0, 29}, start).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 2);
+}
+
+TEST_CASE("a peer that missed the end of an evacuation does not start it again at an instance that has read the store")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({}, {0, 20}, start);
+    CHECK_FALSE(state.applyEvacuation(DataCentreId("a"), {0, 5}, false, start).hasChangedEvacuations);
+    CHECK(state.applyEvacuation(DataCentreId("a"), {0, 21}, false, start).hasChangedEvacuations);
+}
+
+TEST_CASE("an evacuation that an older copy of the store lacks holds on for five seconds and then ends")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"evacuate a", "{}", 90, false, 1}}, {1, 100}, start);
+    CHECK_FALSE(state.applyAll({}, {2, 50}, start).hasChangedEvacuations);
+    // Neither a second read nor a peer that repeats what it knows moves the end.
+    state.applyAll({}, {2, 51}, start + Milliseconds(3000));
+    state.applyEvacuation(DataCentreId("a"), {1, 90}, false, start + Milliseconds(4000));
+    CHECK_FALSE(state.removeExpired(start + Milliseconds(4990)).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 1);
+    CHECK(state.removeExpired(start + Milliseconds(5010)).hasChangedEvacuations);
+    CHECK(state.evacuations().empty());
+    CHECK_FALSE(
+        state.applyEvacuation(DataCentreId("a"), {1, 90}, false, start + Milliseconds(6000)).hasChangedEvacuations);
+    CHECK(state.evacuations().empty());
+}
+
+TEST_CASE("an evacuation that is written again to an older copy of the store goes on without a gap")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"evacuate a", "{}", 90, false, 1}}, {1, 100}, start);
+    state.applyAll({}, {2, 50}, start);
+    CHECK_FALSE(state.apply({"evacuate a", "{}", 55, false, 2}, start + Milliseconds(4000)).hasChangedEvacuations);
+    CHECK_FALSE(state.removeExpired(start + Milliseconds(20'000)).hasChangedEvacuations);
+    CHECK(state.evacuations().size() == 1);
+}
+
+TEST_CASE("a deletion in an older copy of the store ends an evacuation at once")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"evacuate a", "{}", 90, false, 1}}, {1, 100}, start);
+    state.applyAll({{"evacuate a", "{}", 40, false, 2}}, {2, 50}, start);
+    CHECK_FALSE(state.removeExpired(start + Milliseconds(6000)).hasChangedEvacuations);
+    CHECK(state.apply({"evacuate a", "", 51, true, 2}, start).hasChangedEvacuations);
+}
+
+TEST_CASE("an evacuation of an earlier era that a peer still knows ends five seconds after it was learnt")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({}, {2, 50}, start);
+    CHECK(state.applyEvacuation(DataCentreId("a"), {1, 90}, false, start).hasChangedEvacuations);
+    CHECK_FALSE(state.removeExpired(start + Milliseconds(4990)).hasChangedEvacuations);
+    CHECK(state.removeExpired(start + Milliseconds(5010)).hasChangedEvacuations);
+}
+
+TEST_CASE(
+    "an instance that cannot read the store learns the start and the end of an evacuation from the items of a peer")
+{
+    const FakeDecoder decoder;
+    PublishedState one(decoder);
+    PublishedState two(decoder);
+    const auto copy = [&] {
+        PublishedState::ChangeFlags flags;
+        for (const StoreItem &item : one.items()) {
+            flags.add(two.apply(item, start));
+        }
+        two.setComplete(one.position());
+        return flags;
+    };
+    one.applyAll({{"evacuate a", "{}", 5, false}}, {0, 10}, start);
+    CHECK(copy().hasChangedEvacuations);
+    CHECK(two.evacuations().size() == 1);
+    // The end is known from a full read only, without a deletion of its own.
+    one.applyAll({}, {0, 20}, start);
+    CHECK(copy().hasChangedEvacuations);
+    CHECK(two.evacuations().empty());
+}
+
+TEST_CASE("a statement of a peer about one evacuation does not raise the position of the state")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({}, {0, 20}, start);
+    CHECK(state.applyEvacuation(DataCentreId("a"), {0, 25}, false, start).hasChangedEvacuations);
+    CHECK(state.position() == StorePosition{0, 20});
+    CHECK(state.applyEvacuation(DataCentreId("a"), {0, 26}, true, start).hasChangedEvacuations);
+    CHECK(state.position() == StorePosition{0, 20});
+    REQUIRE(state.endedEvacuations().size() == 1);
+    CHECK(state.endedEvacuations().front().position == StorePosition{0, 26});
+}
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -25,6 +25,14 @@
     {
         return std::nullopt;
     }
+    DataCentreId evacuatedDataCentre(const std::string &key) const override
+    {
+        return DataCentreId(key);
+    }
+    std::string evacuationKey(const DataCentreId &dataCentre) const override
+    {
+        return dataCentre.value();
+    }
 };
 
 /** Answers within the call with one change per watch up to `lastRevision`; later watches stay open. */
