Gateway: merge of extension messages, and records of evacuations in them

Evacuations in force and their latest ends are sent as records with tag 2, with each full extension message and, by about eight instances of the fleet, at once after a change. A record changes the published state as the store's item would, but does not raise its position.

--- a/src/fleet/relaypeers.h
+++ b/src/fleet/relaypeers.h
@@ -6,6 +6,7 @@
 #include "framework/global/types/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
     std::uint64_t minConfigurationVersion = 0;
     /** Peers that have already been tried. */
     std::vector<std::string> excluded;
+    /** Tells which peers may get the request; all may if it is not set. */
+    std::function<bool(const Peer &peer)> isAllowed = {};
 };
 
 /**
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -6,7 +6,9 @@
 #include "gateway/internal/callerhandler.h"
 #include "gateway/internal/controlhandler.h"
 #include "gateway/internal/crashmonitor.h"
+#include "gateway/internal/evacuationrecord.h"
 #include "gateway/internal/evacuations.h"
+#include "gateway/internal/extensionhandlers.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/gatewaystatus.h"
 #include "gateway/internal/pathmonitor.h"
@@ -50,6 +52,8 @@
 /** The product's own path for the platform's directory request. */
 constexpr std::string_view productLocatePath = "/v1/locate";
 
+/** Evacuations above which none is learnt from extension records; a fleet has a few data centres. */
+constexpr std::size_t maxEvacuationsFromPeers = 64;
 /** Sources of changes of the published state in the log. */
 constexpr std::string_view toldByStore = "store";
 constexpr std::string_view toldByPeer = "peer";
@@ -91,6 +95,7 @@
         })
     {
         context.writeMemoryOrder = dependencies.writeMemoryOrder;
+        addExtensionHandlers();
         fleet::FleetLinkSettings linkSettings;
         linkSettings.instance = settings.instance.value();
         linkSettings.dataCentre = settings.dataCentre.value();
@@ -99,6 +104,7 @@
         linkSettings.callerAddress = settings.callerAddress;
         linkSettings.relayAddress = settings.relayAddress;
         linkSettings.incarnation = static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds() / 1000);
+        linkSettings.capabilities = extensionHandlers.capabilities();
         context.fleet = std::make_shared<fleet::FleetLink>(loop, linkSettings, *this);
         context.path->setPartitionListener([this] {
             onPartitionChanged();
@@ -118,7 +124,15 @@
     void onSnapshot(const fleet::Snapshot &snapshot) override;
     void onStoreConfirmed(const published::StorePosition &position, MonoTime at) override;
     void onPeerLost(const std::string &instance) override;
-
+    [[nodiscard]] std::vector<fleet::ExtensionRecord> ownExtensionRecords() const override;
+    void onExtensionRecords(const std::string &instance, const std::vector<fleet::ExtensionRecord> &records) override;
+    void onRejected(fleet::RejectReason reason) override;
+
+    void onEvacuationRecord(const std::string &instance, const fleet::ExtensionRecord &record);
+    /** Tells peers of a change of evacuations, which the snapshots of earlier builds do not include. */
+    void announceEvacuations();
+    /** Adds the parts that exchange extension records with peers. */
+    void addExtensionHandlers();
     /** Tells peers and the requests in progress whether this instance can reach upstreams. */
     void onPartitionChanged();
     [[nodiscard]] std::size_t openRequestCount() const;
@@ -141,6 +155,7 @@
     GatewayContext context;
     published::PublishedState publishedState;
     published::StoreReader storeReader;
+    ExtensionHandlers extensionHandlers;
     CallerHandler callerHandler;
     RelayHandler relayHandler;
     ControlHandler controlHandler;
@@ -264,6 +279,64 @@
     context.placements.removeOwner(instance, loop.now());
 }
 
+std::vector<fleet::ExtensionRecord> Gateway::Parts::ownExtensionRecords() const
+{
+    return extensionHandlers.ownRecords();
+}
+
+void Gateway::Parts::onExtensionRecords(const std::string &instance, const std::vector<fleet::ExtensionRecord> &records)
+{
+    extensionHandlers.dispatch(instance, records);
+}
+
+void Gateway::Parts::onRejected(fleet::RejectReason reason)
+{
+    context.metrics.increment(
+        "magnolia_fleet_rejected_datagrams_total", "reason=\"" + std::string(fleet::toString(reason)) + '"');
+}
+
+void Gateway::Parts::onEvacuationRecord(const std::string &instance, const fleet::ExtensionRecord &record)
+{
+    const auto decoded = readEvacuationRecord(record);
+    if (!decoded) {
+        onRejected(fleet::RejectReason::Malformed);
+        return;
+    }
+    const DataCentreId dataCentre(decoded->dataCentre);
+    const auto &evacuations = publishedState.evacuations();
+    if (evacuations.size() >= maxEvacuationsFromPeers && !evacuations.contains(dataCentre)) {
+        return;
+    }
+    const auto changes
+        = publishedState.applyEvacuation(dataCentre, {decoded->era, decoded->revision}, decoded->isEnded, loop.now());
+    if (changes.hasChangedEvacuations) {
+        onPublishedStateChanged(changes, instance);
+    }
+}
+
+void Gateway::Parts::announceEvacuations()
+{
+    if (!context.random.chance(announcementProbability(context.fleet->table().liveInstanceCount(loop.now())))) {
+        return;
+    }
+    for (const fleet::ExtensionRecord &it : evacuationRecords(publishedState)) {
+        context.fleet->announceExtension(it);
+    }
+}
+
+void Gateway::Parts::addExtensionHandlers()
+{
+    // The parts call extensionHandlers.add() here, with the tags of fleet::extensiontags.
+    extensionHandlers.add(
+        fleet::extensiontags::evacuation, fleet::Capability::Evacuations,
+        [this] {
+            return evacuationRecords(publishedState);
+        },
+        [this](const std::string &instance, const fleet::ExtensionRecord &record) {
+            onEvacuationRecord(instance, record);
+        });
+}
+
 void Gateway::Parts::onPartitionChanged()
 {
     context.fleet->sendFullState();
@@ -304,6 +377,7 @@
     }
     if (changes.hasChangedEvacuations) {
         updateEvacuations(context, publishedState.evacuations(), toldBy);
+        announceEvacuations();
     }
     const bool isReadyNow = isReady();
     if (isReadyNow != wasReady) {
--- a/src/gateway/tests/evacuationtests.cpp
+++ b/src/gateway/tests/evacuationtests.cpp
@@ -2,10 +2,14 @@
 #include "gatewayfixture.h"
 #include "gatewayfleet.h"
 
+#include "fleet/extensioncodec.h"
+#include "gateway/internal/evacuationrecord.h"
 #include "gateway/internal/evacuations.h"
 #include "gateway/internal/relayprotocol.h"
 
 #include <catch2/catch.hpp>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
 
 using namespace magnolia;
 using namespace magnolia::gateway;
@@ -438,3 +442,46 @@
     fleet.run(0, "notice", "/safe/x");
     CHECK(countRequestsInA(fleet, "cut") == 0);
 }
+
+TEST_CASE("an evacuation that only the extension record of a peer states is obeyed and ended")
+{
+    GatewayFleet fleet({"a", "b", "b"});
+    startFleet(fleet);
+    Poco::Net::DatagramSocket socket;
+    const auto send = [&](const std::string &bytes) {
+        socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(fleet.peerAddress(0)));
+    };
+    fleet::PeerMessage hello;
+    hello.instance = "other";
+    hello.dataCentre = "b";
+    hello.incarnation = 1;
+    hello.sequence = 1;
+    hello.address = {"127.0.0.1", 1};
+    hello.callerAddress = "127.0.0.1:1";
+    send(peerlink::encode(hello));
+    std::uint64_t sequence = 0;
+    const auto state = [&](std::uint64_t revision, bool isEnded) {
+        fleet::ExtensionMessage message;
+        message.instance = hello.instance;
+        message.incarnation = hello.incarnation;
+        message.sequence = ++sequence;
+        message.records
+            = {fleet::encodeRecord(fleet::extensiontags::evacuation, EvacuationRecord{"a", 0, revision, isEnded})};
+        send(fleet::encodeExtension(message));
+    };
+    constexpr std::uint64_t laterRevision = 1000;
+    state(laterRevision, false);
+    // The first gateway passes it on to the others.
+    CHECK(fleet.runUntil(
+        [&] {
+            return haveAllEvacuation(fleet, true);
+        },
+        evacuationTime));
+    CHECK(countRequestsInA(fleet, "during") == 0);
+    state(laterRevision + 1, true);
+    CHECK(fleet.runUntil(
+        [&] {
+            return haveAllEvacuation(fleet, false);
+        },
+        evacuationTime));
+}
--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -459,6 +459,12 @@
     return m_instances[gateway]->settings.callerAddress;
 }
 
+std::string GatewayFleet::peerAddress(std::size_t gateway) const
+{
+    const fleet::PeerAddress &address = m_instances[gateway]->settings.peerAddress;
+    return address.ip + ':' + std::to_string(address.port);
+}
+
 ScriptedUpstream &GatewayFleet::upstream(std::size_t gateway, std::size_t index)
 {
     return *m_instances[gateway]->upstreams[index];
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -94,6 +94,8 @@
     /** Returns the addresses of callers that the directory of a gateway names, separated by spaces. */
     [[nodiscard]] std::string callerAddresses(std::size_t gateway);
     [[nodiscard]] std::string callerAddress(std::size_t gateway) const;
+    /** Returns the address to which peers of a gateway send their datagrams, as IP:PORT. */
+    [[nodiscard]] std::string peerAddress(std::size_t gateway) const;
     /** Returns the upstream of a gateway by the order in which the upstreams were added. */
     [[nodiscard]] ScriptedUpstream &upstream(std::size_t gateway, std::size_t index);
     /** Number of requests that upstreams received from a gateway. */
