--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -12,6 +12,8 @@
 
 /** A leaving upstream must get no requests after 2000 ms (documented limit); 1000 ms are allowed for transmission. */
 constexpr Milliseconds maxDrainDelay{2000 + 1000};
+/** Time after which no request reaches an evacuated data centre (documented limit, `EvacuateMs`). */
+constexpr Milliseconds maxEvacuationDelay{5000};
 /** Time from the first answer with a limit after which the limit is kept (documented limit). */
 constexpr Milliseconds limitContactTime{3000};
 /** In this time an upstream may get one and a half times its limit and `limitSlack` more (documented limit). */
@@ -97,6 +99,31 @@
     }
 }
 
+void Ledger::recordEvacuation(const std::string &dataCentre, MonoTime at)
+{
+    m_evacuatedSince[dataCentre] = at;
+}
+
+void Ledger::clearEvacuation(const std::string &dataCentre)
+{
+    m_evacuatedSince.erase(dataCentre);
+}
+
+void Ledger::checkEvacuation(const std::string &id, const std::string &dataCentre, MonoTime now)
+{
+    const auto since = m_evacuatedSince.find(dataCentre);
+    if (!m_hasTimedChecks || since == m_evacuatedSince.end()) {
+        return;
+    }
+    // Only instances that have contact with the store are bound.
+    const MonoTime boundFrom = std::max(since->second, m_disruptedUntil) + maxEvacuationDelay;
+    if (now > boundFrom) {
+        addViolation("evacuation", id,
+            dataCentre + " received a request " + std::to_string(toMilliseconds(now - since->second).count())
+                + " ms after it was evacuated");
+    }
+}
+
 void Ledger::recordLimit(const std::string &upstream, std::optional<double> requestsPerSecond, MonoTime at)
 {
     if (!requestsPerSecond) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -74,6 +74,11 @@
     void recordDisruption(MonoTime until);
     /** Checks, when a request arrives at `upstream`, that the upstream has not been leaving for too long. */
     void checkDrain(const std::string &id, const std::string &upstream, MonoTime now);
+    /** Records that the store has acknowledged the item that evacuates `dataCentre`. */
+    void recordEvacuation(const std::string &dataCentre, MonoTime at);
+    void clearEvacuation(const std::string &dataCentre);
+    /** Checks, when a request arrives in `dataCentre`, that this has not been evacuated for too long. */
+    void checkEvacuation(const std::string &id, const std::string &dataCentre, MonoTime now);
     /** Records that `upstream` names a limit on the requests per second of all gateways from `at` on, or none. */
     void recordLimit(const std::string &upstream, std::optional<double> requestsPerSecond, MonoTime at);
     /** Checks, when a request arrives at `upstream`, that the gateways keep its limit. */
@@ -120,6 +125,7 @@
     bool m_hasTimedChecks;
     std::map<std::string, RequestRecord> m_records;
     std::map<std::string, MonoTime> m_leavingSince;
+    std::map<std::string, MonoTime> m_evacuatedSince;
     struct Limit
     {
         double requestsPerSecond = 0;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -20,6 +20,12 @@
 constexpr std::uint64_t maxCuts = 2;
 constexpr Milliseconds minCutDuration{1000};
 constexpr std::uint64_t maxExtraCutMs = 6000;
+constexpr std::uint64_t evacuationSeed = 0x65766163ULL;
+constexpr std::uint64_t maxEvacuations = 2;
+/** Longer than the documented time after which no request reaches the data centre, so that the judge has its turn. */
+constexpr Milliseconds minEvacuationDuration{5500};
+constexpr Milliseconds earliestEvacuation{500};
+constexpr double silentStoreProbability = 0.5;
 
 } // namespace
 
@@ -82,6 +88,10 @@
         return "a request that comes again crashes its upstreams";
     case Action::CutGateways:
         return "gateways are cut from all upstreams";
+    case Action::EvacuateDataCentre:
+        return "a data centre is evacuated";
+    case Action::EvacuateBesideSilentStore:
+        return "a data centre is evacuated and the store falls silent";
     }
     return "unknown";
 }
@@ -124,6 +134,18 @@
         plan.push_back({parameters.plannedPhaseDuration + Milliseconds(cutRandom.below(faultPhaseMs)),
             minCutDuration + Milliseconds(cutRandom.below(maxExtraCutMs)), Action::CutGateways, cutRandom.next()});
     }
+    Random evacuationRandom(parameters.seed ^ evacuationSeed);
+    const std::uint64_t evacuationCount = evacuationRandom.below(maxEvacuations + 1);
+    const Milliseconds latestEvacuation = end - minEvacuationDuration;
+    for (std::uint64_t i = 0; i < evacuationCount && latestEvacuation > earliestEvacuation; ++i) {
+        const auto range = static_cast<std::uint64_t>((latestEvacuation - earliestEvacuation).count());
+        const Milliseconds begin = earliestEvacuation + Milliseconds(evacuationRandom.below(range));
+        const auto extraMs = static_cast<std::uint64_t>((latestEvacuation - begin).count());
+        const bool isSilent
+            = begin >= parameters.plannedPhaseDuration && evacuationRandom.chance(silentStoreProbability);
+        plan.push_back({begin, minEvacuationDuration + Milliseconds(evacuationRandom.below(extraMs + 1)),
+            isSilent ? Action::EvacuateBesideSilentStore : Action::EvacuateDataCentre, evacuationRandom.next()});
+    }
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) {
         return a.at < b.at;
     });
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -43,6 +43,9 @@
     CrashingPart,
     CrashingRequest,
     CutGateways,
+    EvacuateDataCentre,
+    /** The store falls silent right after the item of the evacuation was written. */
+    EvacuateBesideSilentStore,
 };
 
 [[nodiscard]] std::string_view toString(Action action);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -59,9 +59,13 @@
         + std::to_string(host);
 }
 
+constexpr std::size_t zoneCount = 3;
+/** Time for which the store is silent after an item of an evacuation. */
+constexpr Milliseconds evacuationSilence{2000};
+
 std::string zoneName(std::size_t number)
 {
-    return "z" + std::to_string(number % 3 + 1);
+    return "z" + std::to_string(number % zoneCount + 1);
 }
 
 /** Returns the trigger in force that the request contains; empty if there is none. */
@@ -321,6 +325,8 @@
         applyCrashTrigger(fault);
     } else if (fault.action == Action::CutGateways) {
         cutGateways(fault);
+    } else if (fault.action == Action::EvacuateDataCentre || fault.action == Action::EvacuateBesideSilentStore) {
+        evacuate(fault);
     } else if (fault.action == Action::ReplaceUpstream || fault.action >= Action::UpstreamLinkSilent) {
         applyUpstreamFault(fault);
     } else {
@@ -485,6 +491,33 @@
     });
 }
 
+void Soak::evacuate(const Fault &fault)
+{
+    const std::string zone = zoneName(fault.targetNumber % zoneCount);
+    const std::string key = "op/evacuate/" + zone;
+    applyTemporarily(
+        fault, key,
+        [this, zone, key] {
+            m_store->put(key, "{}");
+            m_ledger.recordEvacuation(zone, m_loop.now());
+        },
+        [this, zone, key] {
+            m_store->remove(key);
+            m_ledger.clearEvacuation(zone);
+        });
+    if (fault.action == Action::EvacuateBesideSilentStore) {
+        m_ledger.recordDisruption(m_loop.now() + evacuationSilence);
+        applyTemporarily(
+            {fault.at, evacuationSilence, fault.action, fault.targetNumber}, "store",
+            [this] {
+                m_store->setMode(SoakStore::Mode::Silent);
+            },
+            [this] {
+                m_store->setMode(SoakStore::Mode::Serving);
+            });
+    }
+}
+
 void Soak::replaceUpstream(SoakUpstream &upstream)
 {
     upstream.announceLeave();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -62,6 +62,7 @@
     void applyCrashTrigger(const Fault &fault);
     /** Cuts one to all but one gateways from all upstreams. */
     void cutGateways(const Fault &fault);
+    void evacuate(const Fault &fault);
     void replaceUpstream(SoakUpstream &upstream);
     /** Starts a crashed upstream again after `delay`, under a new id. */
     void restartUpstream(SoakUpstream &upstream, Milliseconds delay);
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -203,6 +203,7 @@
         return;
     }
     m_ledger.checkDrain(id, m_id, m_loop.now());
+    m_ledger.checkEvacuation(id, m_options.zone, m_loop.now());
     m_ledger.checkLimit(id, m_id, m_loop.now());
     const std::string process = m_options.processAt ? m_options.processAt(connection->peerIp()) : std::string();
     m_ledger.checkTurnedAway(id, m_id, process, m_loop.now());
--- a/tests/soak/tests/ledgertests.cpp
+++ b/tests/soak/tests/ledgertests.cpp
@@ -233,3 +233,31 @@
     }
     CHECK(ledger.violations().size() == 1);
 }
+
+TEST_CASE("with timed checks, a request to a data centre that was evacuated more than five seconds ago is a violation")
+{
+    Ledger ledger(true);
+    ledger.recordEvacuation("z1", startTime);
+    ledger.checkEvacuation("a", "z1", startTime + Milliseconds(4900));
+    ledger.checkEvacuation("a", "z2", startTime + Milliseconds(9000));
+    CHECK(ledger.violations().empty());
+    ledger.checkEvacuation("a", "z1", startTime + Milliseconds(5100));
+    CHECK(brokenGuarantees(ledger) == "evacuation");
+    Ledger ended(true);
+    ended.recordEvacuation("z1", startTime);
+    ended.clearEvacuation("z1");
+    ended.checkEvacuation("a", "z1", startTime + Milliseconds(9000));
+    CHECK(ended.violations().empty());
+    // Instances without contact to the store are bound from its return on.
+    Ledger disrupted(true);
+    disrupted.recordEvacuation("z1", startTime);
+    disrupted.recordDisruption(startTime + Milliseconds(2000));
+    disrupted.checkEvacuation("a", "z1", startTime + Milliseconds(6000));
+    CHECK(disrupted.violations().empty());
+    disrupted.checkEvacuation("a", "z1", startTime + Milliseconds(20'000));
+    CHECK(brokenGuarantees(disrupted) == "evacuation");
+    Ledger untimed(false);
+    untimed.recordEvacuation("z1", startTime);
+    untimed.checkEvacuation("a", "z1", startTime + Milliseconds(9000));
+    CHECK(untimed.violations().empty());
+}
