Fleet, placement: the placements of a silent peer count until its requests are expected to have ended

Cause: a peer that was suspected or whose datagrams were lost was reported as lost, and its placements were dropped at once. Engines with its running work then looked idle to all other instances. Change: only a new run of a peer is reported as lost.

--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -106,7 +106,7 @@
     void scheduleBatch();
     void sendHeartbeat();
     void probePeers();
-    void reportSilentPeers();
+    void logSilentPeers();
     void updateCellCount();
     void handleDatagram(std::string_view bytes, const Poco::Net::SocketAddress &from);
     void handlePeerMessage(std::string_view bytes, const Poco::Net::SocketAddress &from);
@@ -151,7 +151,7 @@
     bool m_isBatchScheduled = false;
     bool m_isStopped = false;
     RejectionLog m_rejectionLog;
-    // Peers whose silence was reported to the delegate.
+    // Peers whose silence was logged.
     std::set<std::string> m_silentPeers;
 };
 
--- a/src/fleet/ifleetdelegate.h
+++ b/src/fleet/ifleetdelegate.h
@@ -65,7 +65,8 @@
     virtual void onSnapshot(const Snapshot &snapshot) = 0;
     /** Called when a peer states that the store had nothing after `position` at the time `at`. */
     virtual void onStoreConfirmed(const published::StorePosition &position, MonoTime at) = 0;
-    /** Called when a peer has restarted or become silent: its earlier placements may have ended. */
+    /** Called when a peer has restarted: its earlier placements have ended. Silence alone is not reported, as the work
+     * of a peer goes on if only its datagrams are lost. */
     virtual void onPeerLost(const std::string &instance) = 0;
 
     /** Returns the current state of the parts, which each full extension message includes. */
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -545,13 +545,13 @@
     m_table.prune(m_loop.now());
     updateCellCount();
     sendFullState();
-    reportSilentPeers();
+    logSilentPeers();
     m_loop.after(m_table.heartbeatInterval(), [self = shared_from_this()] {
         self->sendHeartbeat();
     });
 }
 
-void FleetLink::reportSilentPeers()
+void FleetLink::logSilentPeers()
 {
     const MonoTime now = m_loop.now();
     for (const auto &[name, peer] : m_table.peers()) {
@@ -562,7 +562,6 @@
                 {{"peer", std::string_view(name)},
                     {"silent_ms", std::int64_t{toMilliseconds(now - peer.lastHeardAt).count()}},
                     {"suspected", peer.isSuspected}});
-            m_delegate.onPeerLost(name);
         }
     }
 }
@@ -577,7 +576,7 @@
     for (const FailureDetector::Outgoing &it : m_detector.tick(m_table, m_loop.now(), m_random)) {
         sendTo(it.address, peerlink::encode(it.message));
     }
-    reportSilentPeers();
+    logSilentPeers();
     updateCellCount();
     m_loop.after(m_detector.probeInterval(), [self = shared_from_this()] {
         self->probePeers();
--- a/src/fleet/tests/fleetlinktests.cpp
+++ b/src/fleet/tests/fleetlinktests.cpp
@@ -1,4 +1,6 @@
 // Tests of the exchange between instances over real sockets.
+#include "startlink.h"
+
 #include "fleet/fleetlink.h"
 #include "framework/eventloop/ireadinesshandler.h"
 #include "framework/eventloop/tcpstream.h"
@@ -279,3 +281,60 @@
     loop.remove(peer->socket.impl()->sockfd());
     link->stop();
 }
+
+TEST_CASE("a peer that is only silent or suspected is not reported as lost, and one that has restarted is")
+{
+    // Placements of silent peers were dropped at once, so that engines with running work looked idle.
+    struct LossDelegate : FakeDelegate
+    {
+        void onPeerLost(const std::string &instance) override
+        {
+            lost.push_back(instance);
+        }
+
+        std::vector<std::string> lost;
+    };
+    eventloop::EventLoop loop;
+    LossDelegate delegate;
+    FleetLinkSettings settings;
+    settings.instance = "a";
+    settings.callerAddress = "127.0.0.1:1";
+    const auto link = tests::startLink(loop, settings, delegate);
+    REQUIRE(link);
+    Poco::Net::DatagramSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    PeerMessage message;
+    message.instance = "peer";
+    message.incarnation = 1;
+    message.sequence = 1;
+    message.address = {"127.0.0.1", socket.address().port()};
+    message.callerAddress = "127.0.0.1:2";
+    message.configurationVersion = 1;
+    message.storePosition.revision = 1;
+    const auto send = [&](const auto &it) {
+        const std::string bytes = peerlink::encode(it);
+        socket.sendTo(
+            bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress("127.0.0.1", settings.address.port));
+        tests::runRounds(loop, 1);
+    };
+    send(message);
+    REQUIRE(link->table().peers().contains("peer"));
+    // The first message of a run.
+    REQUIRE(delegate.lost == std::vector<std::string>{"peer"});
+    ProbeMessage probe;
+    probe.instance = "other";
+    probe.incarnation = 1;
+    probe.address = message.address;
+    probe.isAck = true;
+    probe.suspicions = {{"peer", 1, 0}};
+    send(probe);
+    CHECK(link->table().peers().at("peer").isSuspected);
+    // The log of silent peers is written with each probe, every 250 ms.
+    constexpr int roundsOfProbes = 100;
+    tests::runRounds(loop, roundsOfProbes);
+    CHECK(link->table().isSilent(link->table().peers().at("peer"), loop.now()));
+    CHECK(delegate.lost.size() == 1);
+    message.incarnation = 2;
+    send(message);
+    CHECK(delegate.lost.size() == 2);
+    link->stop();
+}
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -391,6 +391,7 @@
         onPublishedStateChanged(changes);
     }
     context.crashes->expire();
+    expireSilentPlacements(context);
     loop.after(expiryCheckInterval, [this] {
         expireEntries();
     });
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -7,6 +7,7 @@
 #include "placement/enginecost.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_set>
 
 namespace magnolia::gateway
@@ -23,20 +24,41 @@
 constexpr Milliseconds unreportedLifetime{2000};
 
 /** Prefill time of one engine's part of a placement, in milliseconds, by the engine model of the primary's service. */
-double prefillPartMs(const GatewayContext &context, const placement::Placement &it)
+/** Returns the engine on which a placement decodes; null for plain services and upstreams that are not known. */
+const catalogue::EngineModel *engineOf(const GatewayContext &context, const placement::Placement &it)
 {
     const KnownUpstream *knownUpstream = context.upstreams.find(it.primary);
     if (knownUpstream == nullptr || !context.catalogue) {
-        return 0;
+        return nullptr;
     }
     const auto service = context.catalogue->services.find(knownUpstream->entry.service);
     if (service == context.catalogue->services.end() || !service->second.engine) {
+        return nullptr;
+    }
+    return &*service->second.engine;
+}
+
+double prefillPartMs(const GatewayContext &context, const placement::Placement &it)
+{
+    const catalogue::EngineModel *engine = engineOf(context, it);
+    if (engine == nullptr) {
         return 0;
     }
-    const double prefillMs = placement::prefillMs(*service->second.engine, it.promptTokens);
+    const double prefillMs = placement::prefillMs(*engine, it.promptTokens);
     return prefillMs * context.choice.prefillOverheadFactor / static_cast<double>(it.helpers.size() + 1);
 }
 
+/** Returns the time of all passes on an engine whose slots are all in use. */
+double decodeMs(const GatewayContext &context, const placement::Placement &it)
+{
+    const catalogue::EngineModel *engine = engineOf(context, it);
+    if (engine == nullptr) {
+        return 0;
+    }
+    const double passes = std::ceil(it.outputTokens / std::max(1, engine->stepsPerPass));
+    return passes * placement::decodePassMs(*engine, engine->slots, it.promptTokens);
+}
+
 } // namespace
 
 GatewayContext::GatewayContext(eventloop::EventLoop &theLoop, const GatewaySettings &theSettings, std::uint64_t seed)
@@ -54,6 +76,26 @@
 
 GatewayContext::~GatewayContext() = default;
 
+void expireSilentPlacements(GatewayContext &context)
+{
+    const MonoTime now = context.loop.now();
+    std::unordered_map<std::string, MonoTime> silentOwners;
+    for (const auto &[name, peer] : context.fleet->table().peers()) {
+        if (context.fleet->table().isSilent(peer, now)) {
+            silentOwners.emplace(name, peer.lastHeardAt);
+        }
+    }
+    if (silentOwners.empty()) {
+        return;
+    }
+    context.placements.removeExpired(
+        silentOwners,
+        [&context](const placement::Placement &it) {
+            return decodeMs(context, it);
+        },
+        now);
+}
+
 limits::RetryBudget &retryBudget(GatewayContext &context, const std::string &service)
 {
     const auto known = context.retryBudgets.find(service);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -88,6 +88,9 @@
  * of all instances. The upstream's report loses weight with its age. */
 [[nodiscard]] int unreportedRequests(const GatewayContext &context, placement::UpstreamKey upstream);
 
+/** Removes the placements of silent peers whose requests are expected to have ended; see placement/silentowner.h. */
+void expireSilentPlacements(GatewayContext &context);
+
 /** Removes the records of upstreams, routes and services that are no longer published. */
 void forgetUnpublished(GatewayContext &context);
 
--- a/src/placement/internal/placementtable.cpp
+++ b/src/placement/internal/placementtable.cpp
@@ -1,6 +1,7 @@
 // Known placements and the load derived from them.
 #include "placement/placementtable.h"
 
+#include "placement/silentowner.h"
 #include "placement/types/workestimate.h"
 
 #include <algorithm>
@@ -146,6 +147,23 @@
     replaceAll(owner, {}, now);
 }
 
+std::size_t PlacementTable::removeExpired(const std::unordered_map<std::string, MonoTime> &silentOwners,
+    const std::function<double(const Placement &placement)> &decodeMs, MonoTime now)
+{
+    std::vector<PlacementId> removedIds;
+    for (const auto &[id, entry] : m_entries) {
+        const auto silent = silentOwners.find(entry.owner);
+        if (silent != silentOwners.end()
+            && now >= keepUntil(entry.placement, silent->second, decodeMs(entry.placement))) {
+            removedIds.push_back(id);
+        }
+    }
+    for (const PlacementId id : removedIds) {
+        remove(id, now);
+    }
+    return removedIds.size();
+}
+
 std::vector<Placement> PlacementTable::placementsOf(const std::string &owner) const
 {
     std::vector<Placement> found;
--- a/src/placement/placementtable.h
+++ b/src/placement/placementtable.h
@@ -65,6 +65,13 @@
     /** Replaces the set of placements known from `owner`; a placement that is already known is not overwritten. */
     void replaceAll(const std::string &owner, const std::vector<Placement> &placements, MonoTime now);
     void removeOwner(const std::string &owner, MonoTime now);
+    /**
+     * Removes the placements of silent instances whose requests are expected to have ended; see silentowner.h.
+     * `silentOwners` has the time at which each of them was last heard, and `decodeMs` returns the estimated time from
+     * the first event of a placement to the last, in milliseconds. Returns the number of removed placements.
+     */
+    std::size_t removeExpired(const std::unordered_map<std::string, MonoTime> &silentOwners,
+        const std::function<double(const Placement &placement)> &decodeMs, MonoTime now);
 
     [[nodiscard]] std::vector<Placement> placementsOf(const std::string &owner) const;
     [[nodiscard]] const Placement *find(PlacementId id) const;
