--- a/src/fleet/tests/recordedmessagestests.cpp
+++ b/src/fleet/tests/recordedmessagestests.cpp
@@ -278,3 +278,74 @@
     CHECK(std::string(buf.data(), static_cast<std::size_t>(n)) == readRecorded("snapshot.bin"));
     link->stop();
 }
+
+TEST_CASE("extension messages without records add at most 5 in 100 to the bytes of the heartbeats")
+{
+    // The bound of docs/design/hard-load.md. Placements and probes, which only add to the base, are left out.
+    constexpr std::size_t headerBytes = 28;
+    constexpr int heartbeats = 32;
+    struct EmptyDelegate : FilledDelegate
+    {
+        std::vector<PlacementRecord> ownPlacements() const override
+        {
+            return {};
+        }
+        std::vector<QuarantineRecord> ownQuarantine() const override
+        {
+            return {};
+        }
+        std::vector<ExtensionRecord> ownExtensionRecords() const override
+        {
+            return {};
+        }
+    };
+    for (const int instances : {6, 77, 330}) {
+        eventloop::EventLoop loop;
+        EmptyDelegate delegate;
+        FleetLinkSettings settings;
+        settings.instance = "gw-17";
+        settings.dataCentre = "z1";
+        settings.callerAddress = "127.0.0.1:8227";
+        settings.relayAddress = "127.0.0.1:7341";
+        settings.incarnation = 1'796'400'000'123;
+        settings.capabilities = 3;
+        const auto link = startLink(loop, settings, delegate);
+        REQUIRE(link);
+        Poco::Net::DatagramSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+        for (int i = 1; i < instances; ++i) {
+            PeerMessage message = recordedFullState();
+            message.instance = "gw-" + std::to_string(100 + i);
+            // Only the first peer receives what it is sent.
+            message.address = i == 1
+                ? PeerAddress{"127.0.0.1", socket.address().port()}
+                : PeerAddress{"127.0.1." + std::to_string(i % 250 + 1), static_cast<std::uint16_t>(30'000 + i)};
+            message.peers.clear();
+            const std::string bytes = peerlink::encode(message);
+            socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                Poco::Net::SocketAddress("127.0.0.1", settings.address.port));
+            if (i % 50 == 0) {
+                runRounds(loop, 1);
+            }
+        }
+        runRounds(loop, 2);
+        REQUIRE(link->table().peers().size() == static_cast<std::size_t>(instances - 1));
+        receiveAll(socket);
+        std::map<int, std::size_t> bytesByFormat;
+        for (int i = 0; i < heartbeats; ++i) {
+            link->sendFullState();
+            for (const std::string &it : receiveAll(socket)) {
+                bytesByFormat[static_cast<std::uint8_t>(it[1])] += it.size() + headerBytes;
+            }
+        }
+        const std::size_t base = bytesByFormat[PeerMessage::currentFormat];
+        const std::size_t added = bytesByFormat[ExtensionMessage::currentFormat];
+        const auto interval = link->table().heartbeatInterval();
+        const double perSecond = static_cast<double>(instances - 1) * 1000 / static_cast<double>(interval.count());
+        INFO(instances << " instances: one instance sends " << static_cast<double>(base) / heartbeats * perSecond
+                       << " bytes/s of heartbeats and " << static_cast<double>(added) / heartbeats * perSecond
+                       << " bytes/s of extension messages");
+        CHECK(added > 0);
+        CHECK(added * 100 <= base * 5);
+        link->stop();
+    }
+}
--- a/src/gateway/internal/gatewaystatus.cpp
+++ b/src/gateway/internal/gatewaystatus.cpp
@@ -30,7 +30,8 @@
                     : peer.isReady   ? "ready"
                                      : "starting"},
             {"partitioned", peer.isPartitioned}, {"heard_ms_ago", toMilliseconds(now - peer.lastHeardAt).count()},
-            {"configuration", peer.configurationVersion}, {"store_revision", peer.storePosition.revision}});
+            {"configuration", peer.configurationVersion}, {"store_revision", peer.storePosition.revision},
+            {"extensions", peer.extensionSequence > 0}, {"capabilities", peer.capabilities}});
     }
     return rows;
 }
