--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -512,6 +512,7 @@
     }
     context.crashes->expire();
     context.cold->expire();
+    expireSilentPlacements(context);
     loop.after(expiryCheckInterval, [this] {
         expireEntries();
     });
