Gateway: checks of the store keep the time of an evacuation, and a test of relays during one

Cause: the interval of the checks that find lost answers followed the time of a configuration only, which may be longer than EvacuateMs. Change: it follows the shorter of both. A test shows that during an evacuation nothing is relayed to a peer without the capability.

--- a/src/gateway/internal/storeparameters.cpp
+++ b/src/gateway/internal/storeparameters.cpp
@@ -30,9 +30,10 @@
 published::StoreReaderParameters storeReaderParameters(const GatewaySettings &settings)
 {
     published::StoreReaderParameters parameters;
-    parameters.check.interval = std::min(scaled(settings.configurationApplyTime, checkIntervalShare),
+    const Milliseconds applyTime = std::min(settings.configurationApplyTime, settings.evacuationApplyTime);
+    parameters.check.interval = std::min(scaled(applyTime, checkIntervalShare),
         scaled(settings.upstreamHeartbeatInterval, maxCheckIntervalInHeartbeats));
-    parameters.check.minSpread = scaled(settings.configurationApplyTime, checkSpreadShare);
+    parameters.check.minSpread = scaled(applyTime, checkSpreadShare);
     parameters.check.silenceLimit = scaled(settings.upstreamHeartbeatInterval, silenceLimitInHeartbeats);
     return parameters;
 }
--- a/src/gateway/tests/relaytests.cpp
+++ b/src/gateway/tests/relaytests.cpp
@@ -261,3 +261,18 @@
     CHECK(instance.response.head.status == 503);
     CHECK(instance.response.head.fields.has("Retry-After"));
 }
+
+TEST_CASE("during an evacuation no request is relayed to a peer of a build that does not obey it")
+{
+    CutInstance instance;
+    instance.addPeer(respondOk);
+    instance.noticeCut();
+    instance.runRequest(instance.makeRoute(RouteKind::AtMostOnce), "before");
+    CHECK(instance.response.head.status == 200);
+    CHECK(instance.relayedCount() == 1);
+    instance.context.evacuatedSince[DataCentreId("there")] = instance.loop.now();
+    instance.runRequest(instance.makeRoute(RouteKind::AtMostOnce), "during");
+    CHECK(instance.response.head.status == 503);
+    CHECK(instance.response.head.fields.has("Retry-After"));
+    CHECK(instance.relayedCount() == 1);
+}
--- a/src/gateway/tests/storeparameterstests.cpp
+++ b/src/gateway/tests/storeparameterstests.cpp
@@ -24,3 +24,13 @@
         }
     }
 }
+
+TEST_CASE("a lost answer about an evacuation is found in the time in which an evacuation has to be in force")
+{
+    GatewaySettings settings;
+    settings.upstreamHeartbeatInterval = Milliseconds(60'000);
+    settings.configurationApplyTime = Milliseconds(60'000);
+    settings.evacuationApplyTime = Milliseconds(5000);
+    const auto check = storeReaderParameters(settings).check;
+    CHECK(check.interval + check.minSpread < settings.evacuationApplyTime);
+}
