Published: short attempts on fresh connections until the store first answers

A restart of all instances while the store is silent left each with one call on a connection that hung for 2 s, and callers were refused 1.1 s after the store was back. Until its first answer, an instance now makes attempts on connections of their own, at an interval that grows with the instances it knows: about ten per second for the whole fleet, spread at random, and one per 250 ms on average for one instance alone. Attempts that hang stay open beside later ones for 2 s without input; an answer that is arriving is not given up and no attempt is added to it. The first instance with an answer tells its peers, which then read the store within 2 ms times the size of the fleet.

--- a/src/framework/httpclient/httpclient.h
+++ b/src/framework/httpclient/httpclient.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace magnolia::httpclient
@@ -39,11 +40,20 @@
     void send(const std::string &method, const std::string &target, const std::string &body, Milliseconds timeout,
         ReplyCallback callback);
 
+    /**
+     * Makes the timeout of the open request run from the last byte received instead of from its start, for at most
+     * `maxTime` in all.
+     */
+    void extendTimeoutOnInput(Milliseconds maxTime);
+    /** Returns the time at which the last byte of the open request's reply arrived, if one has. */
+    [[nodiscard]] std::optional<MonoTime> lastInputAt() const;
+
     void onInput() override;
     void onEnd(eventloop::StreamEnd end) override;
 
 private:
     void finish(Result<HttpReply> reply);
+    void startTimeout();
     [[nodiscard]] bool readHead();
 
     eventloop::EventLoop &m_loop;
@@ -53,6 +63,10 @@
     ReplyCallback m_replyCallback;
     std::shared_ptr<eventloop::TcpStream> m_stream;
     eventloop::TimerId m_timeoutTimer = 0;
+    Milliseconds m_timeout{0};
+    // Latest time at which the timeout may be restarted; not set if it runs from the start of the request.
+    std::optional<MonoTime> m_extensionEndsAt;
+    std::optional<MonoTime> m_lastInputAt;
     std::string m_method;
     httpwire::ResponseHead m_head;
     httpwire::BodyDecoder m_decoder;
--- a/src/framework/httpclient/internal/httpclient.cpp
+++ b/src/framework/httpclient/internal/httpclient.cpp
@@ -60,13 +60,32 @@
         m_stream = eventloop::TcpStream::connect(m_loop, m_address, *this, m_timeouts);
     }
     m_stream->write(httpwire::writeRequestHead(head) + body);
-    m_timeoutTimer = m_loop.after(timeout, [weak = weak_from_this()] {
+    m_timeout = timeout;
+    m_extensionEndsAt.reset();
+    m_lastInputAt.reset();
+    startTimeout();
+}
+
+void HttpClient::startTimeout()
+{
+    m_loop.cancel(m_timeoutTimer);
+    m_timeoutTimer = m_loop.after(m_timeout, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->finish(unavailable("no complete answer within the timeout"));
         }
     });
 }
 
+void HttpClient::extendTimeoutOnInput(Milliseconds maxTime)
+{
+    m_extensionEndsAt = m_loop.now() + maxTime;
+}
+
+std::optional<MonoTime> HttpClient::lastInputAt() const
+{
+    return m_lastInputAt;
+}
+
 bool HttpClient::readHead()
 {
     switch (httpwire::readResponseHead(m_stream->input(), maxHeadSize, m_head)) {
@@ -96,6 +115,10 @@
         m_stream->close();
         return;
     }
+    m_lastInputAt = m_loop.now();
+    if (m_extensionEndsAt && m_loop.now() < *m_extensionEndsAt) {
+        startTimeout();
+    }
     if (!m_isHeadRead && !readHead()) {
         return;
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -73,7 +73,7 @@
                       context.fleet->announceStoreCheck();
                   },
                   [this] {
-                      return context.fleet->table().liveInstanceCount(loop.now());
+                      return knownInstanceCount();
                   }},
               storeReaderParameters(settings))
         , callerHandler(context)
@@ -105,6 +105,14 @@
         return context.catalogue && publishedState.isComplete() && !context.stopDeadline;
     }
 
+    /** Number of live instances; before this instance has a state, also those whose addresses it knows. */
+    [[nodiscard]] std::size_t knownInstanceCount() const
+    {
+        const std::size_t live = context.fleet->table().liveInstanceCount(loop.now());
+        return publishedState.isComplete() ? live
+                                           : std::max(live, context.fleet->table().targets(loop.now()).size() + 1);
+    }
+
     [[nodiscard]] fleet::OwnState ownState() const override;
     [[nodiscard]] std::vector<fleet::PlacementRecord> ownPlacements() const override;
     [[nodiscard]] std::vector<fleet::QuarantineRecord> ownQuarantine() const override;
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -16,6 +16,7 @@
     , m_random(seed)
     , m_callbacks(std::move(callbacks))
     , m_parameters(parameters)
+    , m_startup(parameters.startup)
     , m_checks(parameters.check)
 {
 }
@@ -28,9 +29,56 @@
         return;
     }
     m_readItems.clear();
+    if (!m_hasAnswer) {
+        attempt();
+        return;
+    }
     readNextPage({});
 }
 
+void StoreReader::attempt()
+{
+    // Another attempt would only take bandwidth from an answer that is arriving.
+    if (!m_client.isAttemptReceiving()) {
+        ++m_callCount;
+        m_startup.onAttempt(m_loop.now(), m_random);
+        m_client.attemptRead([this](const Result<StorePage> &page) {
+            onAttemptAnswer(page);
+        });
+    }
+    if (!m_hasAnswer) {
+        scheduleAttempt();
+    }
+}
+
+void StoreReader::scheduleAttempt()
+{
+    // The number of instances that are heard changes, so the time is computed again at least this often.
+    constexpr Milliseconds maxWait{100};
+    const Milliseconds wait
+        = toMilliseconds(m_startup.dueAt(m_callbacks.instanceCount(), m_loop.now()) - m_loop.now()) + Milliseconds(1);
+    m_loop.cancel(m_nextCallTimer);
+    m_nextCallTimer = m_loop.after(std::clamp(wait, Milliseconds(1), maxWait), [this] {
+        if (m_loop.now() >= m_startup.dueAt(m_callbacks.instanceCount(), m_loop.now())) {
+            attempt();
+        } else {
+            scheduleAttempt();
+        }
+    });
+}
+
+void StoreReader::onAttemptAnswer(const Result<StorePage> &page)
+{
+    // A failed attempt is followed by the next one at its time.
+    if (m_hasAnswer || !page) {
+        return;
+    }
+    m_hasAnswer = true;
+    m_loop.cancel(m_nextCallTimer);
+    m_client.cancelAttempts();
+    onPage(page);
+}
+
 bool StoreReader::isConnected() const
 {
     return m_isConnected;
@@ -83,9 +131,14 @@
     m_readItems.clear();
     m_watchPosition = m_firstPagePosition;
     m_isWatching = true;
+    // After a start of all instances the first answer tells the others that they can read the store as well.
+    const bool isFirstToKnow = m_confirmedAt == MonoTime{} && !m_startup.isAnsweringPeers(m_loop.now());
     m_confirmedAt = m_loop.now();
     confirm(m_confirmedAt);
     watch();
+    if (isFirstToKnow) {
+        m_callbacks.onChecked();
+    }
 }
 
 void StoreReader::watch()
@@ -196,6 +249,9 @@
 
 void StoreReader::onPeerConfirmation(const StorePosition &position, MonoTime at)
 {
+    if (!m_hasAnswer && m_startup.onPeerAnswered(at, m_loop.now(), m_random)) {
+        scheduleAttempt();
+    }
     if (position <= m_state.position()) {
         confirm(at);
     }
--- a/src/published/istoreclient.h
+++ b/src/published/istoreclient.h
@@ -38,6 +38,24 @@
 
     /** Reads the page after `afterKey`, or the first if it is empty. One call at a time; `done` is called once. */
     virtual void readPage(const std::string &afterKey, std::function<void(Result<StorePage>)> done) = 0;
+    /**
+     * Reads the first page on a connection of its own, beside earlier attempts. An attempt is given up when nothing of
+     * its answer arrives for some time, and when there are too many later ones; `done` is not called in the latter
+     * case.
+     */
+    virtual void attemptRead(std::function<void(Result<StorePage>)> done)
+    {
+        readPage({}, std::move(done));
+    }
+    /** Whether the answer of an attempt is arriving. */
+    [[nodiscard]] virtual bool isAttemptReceiving() const
+    {
+        return false;
+    }
+    /** Abandons all attempts; their `done` is not called. */
+    virtual void cancelAttempts()
+    {
+    }
     /** Waits up to `wait` for changes after `revision`. */
     virtual void watch(std::uint64_t revision, Milliseconds wait, std::function<void(Result<StoreChanges>)> done) = 0;
     /** Abandons the open watch, if there is one; its `done` is not called. */
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -1,11 +1,13 @@
-// Keeps the published state up to date with the store: one full read, then watches for changes, and short checks that
-// find watches whose answers were lost. The instances of a fleet share the checks.
+// Keeps the published state up to date with the store: attempts until the store first answers, one full read, then
+// watches for changes, and short checks that find watches whose answers were lost. The instances of a fleet share the
+// checks.
 #pragma once
 
 #include "framework/eventloop/eventloop.h"
 #include "framework/global/random.h"
 #include "published/istoreclient.h"
 #include "published/publishedstate.h"
+#include "published/startupreadschedule.h"
 #include "published/storecheckschedule.h"
 
 #include <functional>
@@ -34,6 +36,7 @@
     Milliseconds minRetryDelay{150};
     Milliseconds maxRetryDelay{800};
     StoreCheckParameters check;
+    StartupReadParameters startup;
     /** Time in which an open watch returns a change that is known from elsewhere; without it the watch is replaced. */
     Milliseconds watchRenewalDelay{150};
     /** Minimum time between two replacements of the watch for the same revision. */
@@ -46,7 +49,7 @@
     std::function<void(const PublishedState::ChangeFlags &)> onChange;
     /** Called after a successful check, so that peers learn of it. */
     std::function<void()> onChecked;
-    /** Returns the number of instances that share the checks, including this one. */
+    /** Returns the number of instances that share the checks and the attempts of a start, including this one. */
     std::function<std::size_t()> instanceCount;
 };
 
@@ -73,6 +76,10 @@
     [[nodiscard]] std::uint64_t callCount() const;
 
 private:
+    /** Reads the first page as an attempt; used until the store has answered once. */
+    void attempt();
+    void scheduleAttempt();
+    void onAttemptAnswer(const Result<StorePage> &page);
     void readNextPage(const std::string &afterKey);
     void onPage(const Result<StorePage> &page);
     void watch();
@@ -110,6 +117,9 @@
     bool m_isWatching = false;
     bool m_isConnected = false;
     bool m_wasConnected = false;
+    // Whether the store has ever answered this instance.
+    bool m_hasAnswer = false;
+    StartupReadSchedule m_startup;
     std::uint64_t m_callCount = 0;
     Milliseconds m_retryDelay{0};
     StoreCheckSchedule m_checks;
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -272,3 +272,118 @@
     CHECK(store.checkCount == 0);
     CHECK(reader.confirmedAt() == confirmedAt);
 }
+
+namespace
+{
+
+/** Keeps the attempts open until the test answers them. */
+class SilentStore : public FakeStore
+{
+public:
+    void attemptRead(std::function<void(Result<StorePage>)> done) override
+    {
+        attempts.push_back(std::move(done));
+    }
+    bool isAttemptReceiving() const override
+    {
+        return isReceiving;
+    }
+    void cancelAttempts() override
+    {
+        areAttemptsCancelled = true;
+    }
+
+    std::vector<std::function<void(Result<StorePage>)>> attempts;
+    bool isReceiving = false;
+    bool areAttemptsCancelled = false;
+};
+
+StoreReaderParameters makeStartupParameters()
+{
+    StoreReaderParameters parameters = makeParameters();
+    parameters.startup.minInterval = Milliseconds(2);
+    parameters.startup.fleetInterval = Milliseconds(1);
+    parameters.startup.minGap = Milliseconds(1);
+    return parameters;
+}
+
+} // namespace
+
+TEST_CASE("an instance without an answer opens fresh attempts while an earlier one hangs, and takes the first answer")
+{
+    // A connection that was opened while the store was silent is never answered.
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    SilentStore store;
+    int checkedCount = 0;
+    StoreReaderCallbacks callbacks = makeCallbacks();
+    callbacks.onChecked = [&] {
+        ++checkedCount;
+    };
+    StoreReader reader(loop, store, state, 1, callbacks, makeStartupParameters());
+    reader.start();
+    runUntil(loop, [&] {
+        return store.attempts.size() >= 3;
+    });
+    REQUIRE(store.attempts.size() >= 3);
+    CHECK(store.readCount == 0);
+    StorePage page;
+    page.position = {0, 1};
+    store.attempts[1](makeError(ResultCode::PlatformUnavailable, "busy"));
+    CHECK_FALSE(reader.isConnected());
+    store.attempts[2](page);
+    CHECK(reader.isConnected());
+    CHECK(state.isComplete());
+    CHECK(store.areAttemptsCancelled);
+    // Peers are told, so that they read the store as well.
+    CHECK(checkedCount == 1);
+    CHECK(store.watchedRevisions.size() == 1);
+    // A late answer of the hanging attempt changes nothing.
+    store.attempts[0](page);
+    CHECK(store.watchedRevisions.size() == 1);
+}
+
+TEST_CASE("no attempt is added while the answer of another is arriving")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    SilentStore store;
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeStartupParameters());
+    reader.start();
+    REQUIRE(store.attempts.size() == 1);
+    store.isReceiving = true;
+    runUntil(
+        loop,
+        [] {
+            return false;
+        },
+        Milliseconds(30));
+    CHECK(store.attempts.size() == 1);
+    CHECK(reader.callCount() == 1);
+    store.isReceiving = false;
+    runUntil(loop, [&] {
+        return store.attempts.size() == 2;
+    });
+    CHECK(store.attempts.size() == 2);
+}
+
+TEST_CASE("an instance that waits for its next attempt makes it when a peer has had an answer")
+{
+    eventloop::EventLoop loop;
+    const EmptyDecoder decoder;
+    PublishedState state(decoder);
+    SilentStore store;
+    StoreReaderParameters parameters = makeStartupParameters();
+    // Without the peer the next attempt would come after an hour.
+    parameters.startup.minGap = Milliseconds(3'600'000);
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
+    reader.start();
+    REQUIRE(store.attempts.size() == 1);
+    reader.onPeerConfirmation({0, 0}, loop.now() + Milliseconds(1));
+    runUntil(loop, [&] {
+        return store.attempts.size() == 2;
+    });
+    CHECK(store.attempts.size() == 2);
+}
