--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -99,6 +99,9 @@
     void handleDatagram(std::string_view bytes);
     void handleProbe(std::string_view bytes);
     void scheduleFetch(const Peer &peer);
+    /** Looks for a peer that has a state, for an instance that has none and no answer of the store. */
+    void lookForSource();
+    void lookForSourceAfter(Milliseconds delay);
     /** Returns a live peer of the own data centre that has what `peer` has, or `peer` if there is none. */
     [[nodiscard]] Peer nearestSource(const Peer &peer);
     void fetch(const Peer &from);
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -3,6 +3,7 @@
 
 #include "fleet/cells.h"
 #include "fleet/internal/fetchdelay.h"
+#include "fleet/startupfetch.h"
 #include "framework/eventloop/tcpstream.h"
 #include "framework/global/hashing.h"
 #include "framework/logging/log.h"
@@ -36,8 +37,6 @@
 constexpr std::size_t addressesPerExchange = 32;
 /** Peer addresses sent to a new peer. A few answers cover the fleet: all peers are known within two heartbeats. */
 constexpr std::size_t addressesForNewPeer = 128;
-/** Concurrent snapshot transfers. Three of 1 MB each pass the slowest specified link within one second. */
-constexpr std::size_t maxConcurrentSnapshots = 3;
 /** Wait after a failed fetch, in which the peer serves others. */
 constexpr Milliseconds fetchRetryDelay{120};
 /** Time limit for the receipt of a snapshot. */
@@ -600,11 +599,18 @@
 
 void FleetLink::scheduleFetch(const Peer &peer)
 {
-    const auto delay = fetchDelay(m_delegate.ownState(), peer);
+    const OwnState own = m_delegate.ownState();
+    const auto delay = fetchDelay(own, peer);
     const MonoTime now = m_loop.now();
     if (!delay || m_call) {
         return;
     }
+    if (!own.isComplete && !own.isStoreConnected) {
+        if (m_fetchTimer == 0) {
+            lookForSourceAfter(Milliseconds(m_random.below(startupLookInterval.count())));
+        }
+        return;
+    }
     const MonoTime due = std::max(now + *delay, m_earliestFetch);
     if (m_fetchTimer != 0 && due >= m_fetchDue) {
         return;
@@ -620,6 +626,50 @@
     });
 }
 
+void FleetLink::lookForSourceAfter(Milliseconds delay)
+{
+    m_fetchDue = m_loop.now() + delay;
+    m_fetchTimer = m_loop.after(delay, [self = shared_from_this()] {
+        self->m_fetchTimer = 0;
+        self->lookForSource();
+    });
+}
+
+void FleetLink::lookForSource()
+{
+    const OwnState own = m_delegate.ownState();
+    if (m_isStopped || m_call || own.isComplete || own.isStoreConnected) {
+        return;
+    }
+    StartupFetchView view;
+    // Any state will do: what is newer comes from the store. The newest alone would be asked by all instances.
+    std::vector<const Peer *> sources;
+    std::vector<const Peer *> near;
+    for (const auto &[name, it] : m_table.peers()) {
+        if (m_table.isSilent(it, m_loop.now())) {
+            continue;
+        }
+        if (!fetchDelay(own, it)) {
+            ++view.withoutState;
+            continue;
+        }
+        sources.push_back(&it);
+        if (it.dataCentre == m_settings.dataCentre) {
+            near.push_back(&it);
+        }
+    }
+    view.sources = sources.size();
+    if (sources.empty()) {
+        return;
+    }
+    if (m_random.chance(startupFetchShare(view))) {
+        const auto &candidates = near.empty() ? sources : near;
+        fetch(*candidates[m_random.below(candidates.size())]);
+    } else {
+        lookForSourceAfter(startupLookDelay(m_random));
+    }
+}
+
 Peer FleetLink::nearestSource(const Peer &peer)
 {
     std::vector<const Peer *> near;
@@ -645,6 +695,9 @@
             m_delegate.onSnapshot(*snapshot);
         } else {
             m_earliestFetch = m_loop.now() + fetchRetryDelay;
+            if (const OwnState state = m_delegate.ownState(); !state.isComplete && !state.isStoreConnected) {
+                lookForSourceAfter(startupLookDelay(m_random));
+            }
         }
     });
     m_call->start(from.address);
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -127,7 +127,7 @@
         readNextPage(page->items.back().key);
         return;
     }
-    m_callbacks.onChange(m_state.applyAll(m_readItems, m_firstPagePosition, m_loop.now()));
+    const auto changes = m_state.applyAll(m_readItems, m_firstPagePosition, m_loop.now());
     m_readItems.clear();
     m_watchPosition = m_firstPagePosition;
     m_isWatching = true;
@@ -135,10 +135,12 @@
     const bool isFirstToKnow = m_confirmedAt == MonoTime{} && !m_startup.isAnsweringPeers(m_loop.now());
     m_confirmedAt = m_loop.now();
     confirm(m_confirmedAt);
-    watch();
     if (isFirstToKnow) {
+        // Before the changes: the longer messages that follow from them would fill the link first.
         m_callbacks.onChecked();
     }
+    m_callbacks.onChange(changes);
+    watch();
 }
 
 void StoreReader::watch()
--- a/src/published/startupreadschedule.h
+++ b/src/published/startupreadschedule.h
@@ -23,10 +23,10 @@
     /** Minimum time between two attempts of one instance. */
     Milliseconds minGap{100};
     /**
-     * Mean time between the first reads of two instances after the store has answered a peer: 500 reads per second, a
-     * quarter of what small deployments allow.
+     * Mean time between the first reads of two instances after the store has answered a peer: 1,000 reads per second,
+     * half of what small deployments allow.
      */
-    Milliseconds answeringSpread{2};
+    Milliseconds answeringSpread{1};
     /** Mean time between two attempts of the whole fleet while the store answers peers but not all instances. */
     Milliseconds answeringFleetInterval{20};
     /** Time after which an answer that a peer had no longer counts. */
--- a/src/published/tests/startupreadscheduletests.cpp
+++ b/src/published/tests/startupreadscheduletests.cpp
@@ -74,7 +74,7 @@
         reads.push_back(schedule.dueAt(instances, news));
     }
     std::sort(reads.begin(), reads.end());
-    CHECK(reads.back() - news <= Milliseconds(600));
+    CHECK(reads.back() - news <= Milliseconds(300));
     for (auto it = reads.begin(); it != reads.end(); ++it) {
         CHECK(std::lower_bound(it, reads.end(), *it + Milliseconds(1000)) - it <= 2000);
     }
