Gateway: hold requests until the configuration arrives, within bounds

Requests that came while an instance had no configuration were refused at once after 300 ms, mostly on the only retry of their caller. The gateway now uses the decision for such requests: held for an eighth of the stated deadline, within a sixteenth of the memory limit, then refused with a Retry-After that the caller honours. Held requests go on in order of arrival when the configuration arrives, in batches of 32, and are refused at once when the instance stops.

Also: an instance whose first read after the news failed tries again after 5 ms times the size of the fleet, so that one instance that starts in a live fleet does not wait longer than before.

--- a/src/gateway/internal/callerhandler.cpp
+++ b/src/gateway/internal/callerhandler.cpp
@@ -4,10 +4,11 @@
 #include "catalogue/routing.h"
 #include "framework/logging/log.h"
 #include "gateway/internal/exchange.h"
+#include "gateway/internal/exchangelimits.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/heldrequest.h"
 #include "gateway/internal/retryafter.h"
 #include "gateway/iresponsewriter.h"
-#include "limits/backoff.h"
 
 namespace magnolia::gateway
 {
@@ -15,13 +16,24 @@
 namespace
 {
 
-/** Time within which an instance that has just started receives the configuration. */
-constexpr Milliseconds startupTime{300};
+/** Part of the memory limit that held requests may use, and their size without a limit. */
+constexpr std::uint64_t heldMemoryDivisor = 16;
+constexpr Bytes defaultMaxHeldSize{16U * 1024 * 1024};
+/** Connections that waited from the start are accepted and read within this time after they are let in. */
+constexpr Milliseconds acceptTime{50};
+/** Held requests that are handed over before the event loop serves others. */
+constexpr std::size_t releaseBatch = 32;
+
+Bytes maxHeldSize(const GatewaySettings &settings)
+{
+    return settings.maxMemory.count() > 0 ? Bytes{settings.maxMemory.count() / heldMemoryDivisor} : defaultMaxHeldSize;
+}
 
 } // namespace
 
 CallerHandler::CallerHandler(GatewayContext &context)
     : m_context(context)
+    , m_startedAt(context.loop.now())
 {
 }
 
@@ -62,8 +74,8 @@
 {
     const bool isRelayed = origin.has_value();
     if (!m_context.catalogue) {
-        refuse(head, 503, "no_configuration", isRelayed, responseWriter);
-        return nullptr;
+        return handleWithoutConfiguration(
+            isRelayed, !isRelayed, std::move(head), std::move(body), receivedAt, responseWriter);
     }
     const catalogue::Catalogue &catalogue = *m_context.catalogue;
     const catalogue::Route *route = catalogue::findRoute(catalogue, head.fields.value("Host"), head.path());
@@ -88,8 +100,92 @@
     return exchange->isDone() ? nullptr : exchange;
 }
 
+std::shared_ptr<IActiveRequest> CallerHandler::handleWithoutConfiguration(bool isRelayed, bool mayHold,
+    httpwire::RequestHead head, std::string body, MonoTime receivedAt, IResponseWriter &responseWriter)
+{
+    const MonoTime now = m_context.loop.now();
+    StartupRequest request;
+    request.sinceStart = toMilliseconds(now - m_startedAt);
+    request.sinceRead = toMilliseconds(now - receivedAt);
+    request.unreadTime
+        = receivedAt - m_startedAt <= startupUnreadTime + acceptTime ? startupUnreadTime : Milliseconds(0);
+    if (const double deadline = readNumber(head.fields.value(m_context.settings.names.deadline)); deadline > 0) {
+        request.deadline = Milliseconds(static_cast<std::int64_t>(std::min(deadline, 1e9)));
+    }
+    request.isRelayed = isRelayed;
+    const auto held = std::make_shared<HeldRequest>(
+        m_context.loop, *this, std::move(head), std::move(body), receivedAt, responseWriter);
+    request.size = held->size();
+    request.heldSize = m_heldSize;
+    request.maxHeldSize = mayHold && !m_context.stopDeadline ? maxHeldSize(m_context.settings) : Bytes{0};
+    const StartupDecision decision = decideAtStartup(request, m_context.random);
+    if (decision.action == StartupAction::Refuse) {
+        m_context.metrics.increment("magnolia_gateway_startup_requests_total", "action=\"refused\"");
+        refuse(held->takeHead(), 503, "no_configuration", isRelayed, responseWriter, decision.time);
+        return nullptr;
+    }
+    m_context.metrics.increment("magnolia_gateway_startup_requests_total", "action=\"held\"");
+    logging::write(logging::Level::Info, "gateway", "held",
+        {{"request", held->requestId(m_context.settings.names.requestId)},
+            {"max_ms", std::int64_t{decision.time.count()}}});
+    m_held.push_back(held);
+    ++m_heldCount;
+    m_heldSize += held->size();
+    held->hold(decision.time);
+    return held;
+}
+
+std::shared_ptr<IActiveRequest> CallerHandler::handleHeld(
+    httpwire::RequestHead head, std::string body, MonoTime receivedAt, IResponseWriter &responseWriter)
+{
+    if (!m_context.catalogue) {
+        return handleWithoutConfiguration(false, false, std::move(head), std::move(body), receivedAt, responseWriter);
+    }
+    return begin(std::nullopt, std::move(head), std::move(body), receivedAt, responseWriter);
+}
+
+void CallerHandler::removeHeld(const HeldRequest &request)
+{
+    --m_heldCount;
+    m_heldSize -= request.size();
+    // Most end in order of arrival, by their time limits or together.
+    while (!m_held.empty()) {
+        const auto first = m_held.front().lock();
+        if (first && first->isHeld()) {
+            break;
+        }
+        m_held.pop_front();
+    }
+}
+
+void CallerHandler::releaseHeld()
+{
+    if (m_isReleasing) {
+        return;
+    }
+    for (std::size_t i = 0; i < releaseBatch && !m_held.empty(); ++i) {
+        const auto first = m_held.front().lock();
+        m_held.pop_front();
+        if (first) {
+            first->release();
+        }
+    }
+    if (!m_held.empty()) {
+        m_isReleasing = true;
+        m_context.loop.defer([this] {
+            m_isReleasing = false;
+            releaseHeld();
+        });
+    }
+}
+
+std::size_t CallerHandler::heldCount() const
+{
+    return m_heldCount;
+}
+
 void CallerHandler::refuse(const httpwire::RequestHead &head, int status, std::string_view reason, bool isRelayed,
-    IResponseWriter &responseWriter)
+    IResponseWriter &responseWriter, std::optional<Milliseconds> retryAfter)
 {
     const WireNames &names = m_context.settings.names;
     const std::string_view id = head.fields.value(names.requestId);
@@ -101,9 +197,8 @@
     if (isRelayed) {
         responseHead.fields.add(relayNotRunField, reason);
     }
-    if (status == 503) {
-        const auto wait = limits::jitteredRetryAfter(startupTime, m_context.random);
-        responseHead.fields.add(names.retryAfter, writeRetryAfter(wait));
+    if (retryAfter) {
+        responseHead.fields.add(names.retryAfter, writeRetryAfter(*retryAfter));
     }
     m_context.metrics.increment(
         "magnolia_gateway_requests_total", "outcome=\"refused\",status=\"" + std::to_string(status) + '"');
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -38,12 +38,6 @@
 /** Interval at which store entries that were removed, perhaps only for a moment, are checked for expiry. */
 constexpr Milliseconds expiryCheckInterval{250};
 constexpr std::size_t maxControlConnections = 256;
-/**
- * Time for which a starting instance leaves callers unanswered while it has no configuration. Callers with a cached
- * address come at once and often have a single retry, which an immediate refusal would use up. Callers stop waiting
- * after a third of their deadline; the shortest published deadline is 1 s.
- */
-constexpr Milliseconds maxStartupHold{300};
 /** Published maximum number of addresses that callers use from one response. */
 constexpr std::size_t maxLocateAddresses = 64;
 /** The product's own path for the platform's directory request. */
@@ -312,6 +306,9 @@
     } else if (changes.hasNewConfiguration || changes.hasChangedUpstreams) {
         context.fleet->announcePublishedState();
     }
+    if (context.catalogue) {
+        callerHandler.releaseHeld();
+    }
     if (isReadyNow) {
         openToCallers();
     }
@@ -459,7 +456,7 @@
         }
         parts.listeners.push_back(std::move(listener));
     }
-    parts.loop.after(maxStartupHold, [&parts] {
+    parts.loop.after(startupUnreadTime, [&parts] {
         parts.openToCallers();
     });
     if (auto started = parts.context.fleet->start(); !started) {
@@ -470,6 +467,9 @@
     parts.context.metrics.setGauge("magnolia_gateway_open_requests", [&parts] {
         return static_cast<double>(parts.openRequestCount());
     });
+    parts.context.metrics.setGauge("magnolia_gateway_held_requests", [&parts] {
+        return static_cast<double>(parts.callerHandler.heldCount());
+    });
     parts.context.metrics.setGauge("magnolia_gateway_partitioned", [&parts] {
         return parts.context.path->detector().isPartitioned() ? 1.0 : 0.0;
     });
@@ -501,6 +501,7 @@
     logging::write(
         logging::Level::Info, "gateway", "stopping", {{"open_requests", std::uint64_t{parts.openRequestCount()}}});
     parts.onPublishedStateChanged({});
+    parts.callerHandler.releaseHeld();
     parts.context.fleet->sendFullState();
     parts.checkStop(now);
 }
--- a/src/gateway/tests/gatewaytests.cpp
+++ b/src/gateway/tests/gatewaytests.cpp
@@ -290,3 +290,82 @@
     CHECK(retryAfterSeconds >= 0.3);
     CHECK(retryAfterSeconds <= 0.45);
 }
+
+TEST_CASE("a request that arrives before the configuration is held and served when the configuration arrives")
+{
+    // After a loss of power on all instances 760 requests were refused while the store was silent, most of them on the
+    // only retry that their caller had.
+    GatewayFixture fixture;
+    const ScriptedUpstream &upstream = fixture.addUpstream(
+        "service", [&](ScriptedUpstream::Connection &connection, const std::string &request, int /*number*/) {
+            connection.send(plainResponse(request, 200, "whole"));
+        });
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    FakeStore store(fixture.loop, Milliseconds(800));
+    const FakeDecoder decoder(upstream.address());
+    Gateway gateway(fixture.loop, settings, makeDependencies(store, decoder), 3);
+    REQUIRE(gateway.start());
+    Client caller(fixture.loop, settings.callerAddress);
+    caller.stream->write("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline: 60000\r\n\r\n");
+    // A caller that gives up while its request is held must not reach an upstream.
+    auto leaving = std::make_unique<Client>(fixture.loop, settings.callerAddress);
+    leaving->stream->write("GET /a/y HTTP/1.1\r\nHost: h\r\nRequest-Id: gone\r\nDeadline: 60000\r\n\r\n");
+    fixture.loop.after(Milliseconds(500), [&] {
+        leaving->stream->close();
+    });
+    fixture.runUntil([&] {
+        return !caller.received.empty();
+    });
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+    CHECK(caller.received.ends_with("whole"));
+    CHECK(upstream.requests.size() == 1);
+}
+
+TEST_CASE("a request without a configuration is refused with a Retry-After that its caller honours")
+{
+    GatewayFixture fixture;
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    FakeStore store(fixture.loop, Milliseconds(60'000));
+    const FakeDecoder decoder("127.0.0.1:1");
+    Gateway gateway(fixture.loop, settings, makeDependencies(store, decoder), 3);
+    REQUIRE(gateway.start());
+    Client caller(fixture.loop, settings.callerAddress);
+    caller.stream->write("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline: 1000\r\n\r\n");
+    fixture.runUntil([&] {
+        return !caller.received.empty();
+    });
+    CHECK(caller.received.starts_with("HTTP/1.1 503"));
+    // 300 ms unread and an eighth of the deadline held leave 575 ms.
+    const double retryAfterSeconds = std::stod(headerField(caller.received, "Retry-After"));
+    CHECK(retryAfterSeconds > 0);
+    CHECK(retryAfterSeconds <= 0.575 / 3);
+}
+
+TEST_CASE("an instance that stops while it holds requests refuses them at once")
+{
+    GatewayFixture fixture;
+    GatewaySettings settings = fixture.settings;
+    settings.callerAddress = freeAddress();
+    const Poco::Net::SocketAddress peer(freeAddress());
+    settings.peerAddress = {"127.0.0.1", peer.port()};
+    FakeStore store(fixture.loop, Milliseconds(60'000));
+    const FakeDecoder decoder("127.0.0.1:1");
+    Gateway gateway(fixture.loop, settings, makeDependencies(store, decoder), 3);
+    REQUIRE(gateway.start());
+    Client caller(fixture.loop, settings.callerAddress);
+    caller.stream->write("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline: 600000\r\n\r\n");
+    fixture.loop.after(Milliseconds(500), [&] {
+        gateway.beginStop();
+    });
+    fixture.runUntil([&] {
+        return !caller.received.empty();
+    });
+    CHECK(caller.received.starts_with("HTTP/1.1 503"));
+    CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
--- a/src/published/internal/startupreadschedule.cpp
+++ b/src/published/internal/startupreadschedule.cpp
@@ -50,8 +50,9 @@
         return now;
     }
     const auto count = static_cast<std::int64_t>(std::max<std::size_t>(1, instances));
-    const Milliseconds fleetInterval
-        = isAnsweringPeers(now) ? m_parameters.answeringFleetInterval : m_parameters.fleetInterval;
+    // The shorter interval is for attempts after the news. Before, it would make most instances due at once.
+    const bool isShort = isAnsweringPeers(now) && !m_hasNews;
+    const Milliseconds fleetInterval = isShort ? m_parameters.answeringFleetInterval : m_parameters.fleetInterval;
     const auto interval = scaled(std::max(m_parameters.minInterval, fleetInterval * count), m_intervalFactor);
     const MonoTime due = m_attemptedAt + std::max<MonoTime::duration>(m_parameters.minGap, interval);
     if (!m_hasNews) {
--- a/src/published/startupreadschedule.h
+++ b/src/published/startupreadschedule.h
@@ -27,8 +27,8 @@
      * half of what small deployments allow.
      */
     Milliseconds answeringSpread{1};
-    /** Mean time between two attempts of the whole fleet while the store answers peers but not all instances. */
-    Milliseconds answeringFleetInterval{20};
+    /** Mean time between two attempts of the whole fleet while the store answers peers but not these instances. */
+    Milliseconds answeringFleetInterval{5};
     /** Time after which an answer that a peer had no longer counts. */
     Milliseconds answeringTime{2500};
 };
