--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -117,6 +117,9 @@
     /** Counts and logs a datagram or snapshot that is not used. */
     void reject(RejectReason reason, const Poco::Net::SocketAddress &from);
     void scheduleFetch(const Peer &peer);
+    /** Looks for a peer that has a state, for an instance that has none and no answer of the store. */
+    void lookForSource();
+    void lookForSourceAfter(Milliseconds delay);
     /** Returns a live peer of the own data centre that has what `peer` has, or `peer` if there is none. */
     [[nodiscard]] Peer nearestSource(const Peer &peer);
     void fetch(const Peer &from);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -44,12 +44,6 @@
 /** Interval at which store entries that were removed, perhaps only for a moment, are checked for expiry. */
 constexpr Milliseconds expiryCheckInterval{250};
 constexpr std::size_t maxControlConnections = 256;
-/**
- * Time for which a starting instance leaves callers unanswered while it has no configuration. Callers with a cached
- * address come at once and often have a single retry, which an immediate refusal would use up. Callers stop waiting
- * after a third of their deadline; the shortest published deadline is 1 s.
- */
-constexpr Milliseconds maxStartupHold{300};
 /** Published maximum number of addresses that callers use from one response. */
 constexpr std::size_t maxLocateAddresses = 64;
 /** The product's own path for the platform's directory request. */
@@ -85,7 +79,7 @@
                       context.fleet->announceStoreCheck();
                   },
                   [this] {
-                      return context.fleet->table().liveInstanceCount(loop.now());
+                      return knownInstanceCount();
                   }},
               storeReaderParameters(settings))
         , callerHandler(context)
@@ -119,6 +113,14 @@
         return context.catalogue && publishedState.isComplete() && !context.stopDeadline;
     }
 
+    /** Number of live instances; before this instance has a state, also those whose addresses it knows. */
+    [[nodiscard]] std::size_t knownInstanceCount() const
+    {
+        const std::size_t live = context.fleet->table().liveInstanceCount(loop.now());
+        return publishedState.isComplete() ? live
+                                           : std::max(live, context.fleet->table().targets(loop.now()).size() + 1);
+    }
+
     [[nodiscard]] fleet::OwnState ownState() const override;
     [[nodiscard]] std::vector<fleet::PlacementRecord> ownPlacements() const override;
     [[nodiscard]] std::vector<fleet::QuarantineRecord> ownQuarantine() const override;
@@ -426,6 +428,9 @@
     } else if (changes.hasNewConfiguration || changes.hasChangedUpstreams || changes.hasChangedEvacuations) {
         context.fleet->announcePublishedState();
     }
+    if (context.catalogue) {
+        callerHandler.releaseHeld();
+    }
     if (isReadyNow) {
         openToCallers();
     }
@@ -572,13 +577,14 @@
 Result<void> Gateway::start()
 {
     Parts &parts = *m_parts;
-    parts.callerListener = std::make_shared<Listener>(parts.loop, parts.callerHandler, parts.settings.maxConnections);
+    parts.callerListener = std::make_shared<Listener>(
+        parts.loop, parts.callerHandler, parts.settings.maxConnections, &parts.context.memory);
     if (auto started = parts.callerListener->listen(parts.settings.callerAddress); !started) {
         return started;
     }
     if (!parts.settings.relayAddress.empty()) {
-        parts.relayListener
-            = std::make_shared<Listener>(parts.loop, parts.relayHandler, parts.settings.maxRelayConnections);
+        parts.relayListener = std::make_shared<Listener>(
+            parts.loop, parts.relayHandler, parts.settings.maxRelayConnections, &parts.context.memory);
         if (auto started = parts.relayListener->listen(parts.settings.relayAddress); !started) {
             return started;
         }
@@ -603,7 +609,7 @@
         }
         parts.listeners.push_back(std::move(listener));
     }
-    parts.loop.after(maxStartupHold, [&parts] {
+    parts.loop.after(startupUnreadTime, [&parts] {
         parts.openToCallers();
     });
     if (auto started = parts.context.fleet->start(); !started) {
@@ -620,6 +626,18 @@
     parts.context.metrics.setGauge("magnolia_gateway_evacuated_data_centres", [&parts] {
         return static_cast<double>(parts.context.evacuatedSince.size());
     });
+    parts.context.metrics.setGauge("magnolia_gateway_held_output_bytes", [&parts] {
+        return static_cast<double>(parts.context.memory.held(memory::MemoryKind::Output).count());
+    });
+    parts.context.metrics.setGauge("magnolia_gateway_held_body_bytes", [&parts] {
+        return static_cast<double>(parts.context.memory.held(memory::MemoryKind::Body).count());
+    });
+    parts.context.metrics.setGauge("magnolia_gateway_callers_disconnected", [&parts] {
+        return static_cast<double>(parts.callerListener->disconnectedCount());
+    });
+    parts.context.metrics.setGauge("magnolia_gateway_held_requests", [&parts] {
+        return static_cast<double>(parts.callerHandler.heldCount());
+    });
     parts.context.metrics.setGauge("magnolia_gateway_partitioned", [&parts] {
         return parts.context.path->detector().isPartitioned() ? 1.0 : 0.0;
     });
@@ -656,6 +674,7 @@
     logging::write(
         logging::Level::Info, "gateway", "stopping", {{"open_requests", std::uint64_t{parts.openRequestCount()}}});
     parts.onPublishedStateChanged({});
+    parts.callerHandler.releaseHeld();
     parts.context.fleet->sendFullState();
     parts.checkStop(now);
 }
