--- a/src/gateway/internal/heldrequest.cpp
+++ b/src/gateway/internal/heldrequest.cpp
@@ -108,4 +108,9 @@
     }
 }
 
+Milliseconds HeldRequest::waitLimit() const
+{
+    return m_next ? m_next->waitLimit() : IActiveRequest::waitLimit();
+}
+
 } // namespace magnolia::gateway
--- a/src/gateway/internal/heldrequest.h
+++ b/src/gateway/internal/heldrequest.h
@@ -35,6 +35,7 @@
     void cancel() override;
     void onPartitioned() override;
     void onDrained() override;
+    [[nodiscard]] Milliseconds waitLimit() const override;
 
 private:
     /** Ends holding and passes the request on; with a configuration it is processed, otherwise decided again. */
