Peerlink: lists of up to 64 elements are decoded with one allocation

Cause: lists that grow with their elements cost several allocations a message. Change: room for at most 64 elements is reserved.

--- a/src/peerlink/boundedinputarchive.h
+++ b/src/peerlink/boundedinputarchive.h
@@ -122,6 +122,9 @@
     cereal::size_type size = 0;
     archive(cereal::make_size_tag(size));
     values.clear();
+    // Covers most lists with one allocation.
+    constexpr cereal::size_type maxReserved = 64;
+    values.reserve(static_cast<std::size_t>(size < maxReserved ? size : maxReserved));
     for (cereal::size_type i = 0; i < size; ++i) {
         archive(values.emplace_back());
     }
