--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -25,7 +25,6 @@
 /** Typical duration of a response; unannounced requests are assumed to have ended after it. */
 constexpr Milliseconds unreportedLifetime{2000};
 
-/** Prefill time of one engine's part of a placement, in milliseconds, by the engine model of the primary's service. */
 /** Returns the engine on which a placement decodes; null for plain services and upstreams that are not known. */
 const catalogue::EngineModel *engineOf(const GatewayContext &context, const placement::Placement &it)
 {
@@ -40,6 +39,7 @@
     return &*service->second.engine;
 }
 
+/** Returns the prefill time of one engine's part of a placement, in milliseconds. */
 double prefillPartMs(const GatewayContext &context, const placement::Placement &it)
 {
     const catalogue::EngineModel *engine = engineOf(context, it);
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -269,6 +269,28 @@
     CHECK(upstream.connections == 2);
 }
 
+TEST_CASE("a late second copy of an answer on a connection in use again does not reach the next caller")
+{
+    GatewayFixture fixture;
+    std::string firstRequest;
+    ScriptedUpstream &upstream
+        = fixture.addUpstream("service", [&](Connection &connection, const std::string &request, int number) {
+              if (number == 0) {
+                  firstRequest = request;
+                  respondWithEvents(connection, request, 1, 3);
+                  return;
+              }
+              respondWithEvents(connection, firstRequest, 1, 3);
+              respondWithEvents(connection, request, 1, 1);
+          });
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream), "id-1");
+    CHECK(fixture.response.body == eventsText(1, 3));
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream), "id-2");
+    CHECK(upstream.connections == 1);
+    CHECK(fixture.response.isComplete);
+    CHECK(fixture.response.body == eventsText(1, 1));
+}
+
 TEST_CASE("a stream is forwarded completely and ends when its upstream ends it")
 {
     GatewayFixture fixture;
