--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -3,6 +3,8 @@
 
 #include "policies.h"
 
+#include "placement/enginecost.h"
+
 #include <algorithm>
 
 namespace magnolia::bench
@@ -37,6 +39,16 @@
         && maxGapMs <= static_cast<double>(promptClass.gapTarget.count());
 }
 
+bool Outcome::hasLateFirstEvent(const PromptClass &promptClass) const
+{
+    return isDone() && firstEventMs > static_cast<double>(promptClass.firstEventTarget.count());
+}
+
+bool Outcome::hasLongGap(const PromptClass &promptClass) const
+{
+    return isDone() && maxGapMs > static_cast<double>(promptClass.gapTarget.count());
+}
+
 double Outcome::earnedWorth(const PromptClass &promptClass) const
 {
     return !isDone() ? 0 : isOnTime(promptClass) ? promptClass.worth : promptClass.lateWorth;
@@ -63,6 +75,9 @@
     , m_outcomes(m_arrivals.size())
     , m_refusedArrivals(m_arrivals.size(), false)
 {
+    for (std::size_t i = 0; i < workload.engineCount; ++i) {
+        m_engines.setSlowdown(i, engineSlowdown(workload, i));
+    }
 }
 
 void Experiment::setRefusedArrivals(std::vector<bool> refused)
@@ -83,6 +98,7 @@
             startAttempt(i);
         });
     }
+    sampleIdle();
     const MonoTime lastArrivalAt = m_arrivals.empty() ? MonoTime{} : m_arrivals.back().at;
     m_schedule.runUntil(lastArrivalAt + 2 * maxDeadline);
     return m_outcomes;
@@ -98,6 +114,76 @@
     return totalBusyMs / (std::max(durationMs, 1.0) * static_cast<double>(m_workload.engineCount));
 }
 
+double Experiment::busiestOverMean(std::size_t promptClass) const
+{
+    double sum = 0;
+    int seconds = 0;
+    for (const auto &[key, counts] : m_sentCounts) {
+        if (key.first != promptClass) {
+            continue;
+        }
+        double total = 0;
+        double busiest = 0;
+        for (const auto &[engine, sent] : counts) {
+            total += sent;
+            busiest = std::max<double>(busiest, sent);
+        }
+        sum += busiest * static_cast<double>(counts.size()) / total;
+        ++seconds;
+    }
+    return seconds == 0 ? 1 : sum / seconds;
+}
+
+double Experiment::idleBesideWaitingShare() const
+{
+    return m_samples == 0 ? 0 : static_cast<double>(m_idleSamples) / static_cast<double>(m_samples);
+}
+
+void Experiment::sampleIdle()
+{
+    bool hasIdle = false;
+    bool hasWaiting = false;
+    for (std::size_t i = 0; i < m_workload.engineCount; ++i) {
+        const std::size_t requests = m_engines.requestCount(i);
+        hasIdle |= requests == 0;
+        hasWaiting |= requests > static_cast<std::size_t>(std::max(m_workload.engine.slots, 1));
+    }
+    ++m_samples;
+    m_idleSamples += hasIdle && hasWaiting ? 1 : 0;
+    constexpr Milliseconds sampleInterval{20};
+    if (!m_arrivals.empty() && m_schedule.now() < m_arrivals.back().at) {
+        m_schedule.after(sampleInterval, [this] {
+            sampleIdle();
+        });
+    }
+}
+
+GapCause Experiment::gapCause(const Attempt &attempt, enginemodel::JobId job, MonoTime at) const
+{
+    const double slowdown = engineSlowdown(m_workload, attempt.engine - 1);
+    if (placement::decodePassMs(m_workload.engine, 1, 0) * slowdown
+        > static_cast<double>(classOf(attempt.arrivalIndex).gapTarget.count())) {
+        return GapCause::SlowEngine;
+    }
+    const KnownPrefill *longest = nullptr;
+    const auto prefills = m_prefills.find(attempt.engine);
+    if (prefills == m_prefills.end()) {
+        return GapCause::Unknown;
+    }
+    for (const KnownPrefill &it : prefills->second) {
+        const bool overlaps = it.sentAt < at && (!it.endedAt || *it.endedAt > attempt.lastProgressAt);
+        if (it.job != job && overlaps && (longest == nullptr || it.ms > longest->ms)) {
+            longest = &it;
+        }
+    }
+    if (longest == nullptr) {
+        return GapCause::Unknown;
+    }
+    return longest->isHelper        ? GapCause::HelperPart
+        : longest->promptClass == 0 ? GapCause::FirstClassPrompt
+                                    : GapCause::OtherPrompt;
+}
+
 const std::vector<MonoTime> &Experiment::placementTimes(std::size_t engine)
 {
     return m_placedAt[engine + 1];
@@ -159,8 +245,16 @@
     newPlacement.placedAt = now;
     newPlacement.isLate = work.isAlreadyLate;
     newPlacement.reservedTokensPerHelper = decision.reservedTokensPerHelper;
-    m_attempts[id] = Attempt{arrivalIndex, instance, decision.primary, now, false, -1, 0};
+    m_attempts[id] = Attempt{arrivalIndex, instance, decision.primary, now, false, -1, 0, GapCause::None};
     m_placedAt[decision.primary].push_back(now);
+    const double partMs = placement::prefillMs(m_workload.engine, arrival.promptTokens)
+        / static_cast<double>(decision.helpers.size() + 1);
+    m_prefills[decision.primary].push_back({id, arrival.promptClass, false, partMs, now, {}});
+    for (const placement::UpstreamKey it : decision.helpers) {
+        m_prefills[it].push_back({id, arrival.promptClass, true, partMs, now, {}});
+    }
+    ++m_sentCounts[{arrival.promptClass, std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count()}]
+                  [decision.primary];
     m_policy->onPlaced(instance, newPlacement, now);
     enginemodel::ModelJob job;
     job.id = id;
@@ -225,12 +319,28 @@
     if (!attempt.isDecoding) {
         attempt.isDecoding = true;
         attempt.firstEventMs = msSinceArrival(attempt.arrivalIndex, at);
+        for (auto &[engine, prefills] : m_prefills) {
+            for (KnownPrefill &prefill : prefills) {
+                if (prefill.job == job) {
+                    prefill.endedAt = at;
+                }
+            }
+            constexpr std::chrono::seconds keptTime{3};
+            std::erase_if(prefills, [&](const KnownPrefill &prefill) {
+                return prefill.endedAt && at - *prefill.endedAt > keptTime;
+            });
+        }
         // The head of the answer comes with its first event.
         const double second = toMs(at - MonoTime{}) / 1000;
         m_policy->onLimit(attempt.instance, attempt.engine, limitAt(m_workload, attempt.engine - 1, second), at);
         m_policy->onFirstEvent(attempt.instance, job, at);
     } else {
-        attempt.maxGapMs = std::max(attempt.maxGapMs, toMs(at - attempt.lastProgressAt));
+        const double gapMs = toMs(at - attempt.lastProgressAt);
+        if (gapMs > static_cast<double>(classOf(attempt.arrivalIndex).gapTarget.count())
+            && attempt.gapCause == GapCause::None) {
+            attempt.gapCause = gapCause(attempt, job, at);
+        }
+        attempt.maxGapMs = std::max(attempt.maxGapMs, gapMs);
     }
     attempt.lastProgressAt = at;
 }
@@ -244,6 +354,7 @@
     Outcome &outcome = m_outcomes[it->second.arrivalIndex];
     outcome.firstEventMs = it->second.firstEventMs;
     outcome.maxGapMs = it->second.maxGapMs;
+    outcome.gapCause = it->second.gapCause;
     outcome.finishMs = msSinceArrival(it->second.arrivalIndex, at);
     endAttempt(job);
 }
--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -15,6 +15,20 @@
 namespace magnolia::bench
 {
 
+/** Why two events of a stream were further apart than the target. */
+enum class GapCause {
+    None,
+    /** The passes of the engine take longer than the target without any prefill. */
+    SlowEngine,
+    /** A helper part of a prompt with another primary. */
+    HelperPart,
+    /** A prompt of the first class, which is that of the shortest prompts. */
+    FirstClassPrompt,
+    OtherPrompt,
+    /** No prefill was known in the gap; the request was preempted. */
+    Unknown,
+};
+
 /** Result of one arrival over all its attempts. Times are in milliseconds since the arrival, or negative if unset. */
 struct Outcome
 {
@@ -24,6 +38,8 @@
     double maxGapMs = 0;
     int attempts = 0;
     int refusals = 0;
+    /** First gap over the target: the prefill that took the most of it. */
+    GapCause gapCause = GapCause::None;
     /** The caller gave up: no retry was left, an event took too long, or the deadline passed. */
     bool isAbandoned = false;
 
@@ -32,6 +48,8 @@
         return finishMs >= 0;
     }
     [[nodiscard]] bool isOnTime(const PromptClass &promptClass) const;
+    [[nodiscard]] bool hasLateFirstEvent(const PromptClass &promptClass) const;
+    [[nodiscard]] bool hasLongGap(const PromptClass &promptClass) const;
     /** The worth of the class if the answer was on time, its late worth if it was late, or 0. */
     [[nodiscard]] double earnedWorth(const PromptClass &promptClass) const;
 };
@@ -56,6 +74,13 @@
     std::vector<Outcome> run();
     /** Share of the time between the first and the last arrival in which engines ran passes; mean over the engines. */
     [[nodiscard]] double busyShare() const;
+    /**
+     * Mean over the seconds of the run of the ratio of the busiest engine to the mean, by requests of `promptClass`
+     * sent in the second, among the engines that got any in it.
+     */
+    [[nodiscard]] double busiestOverMean(std::size_t promptClass) const;
+    /** Share of the run in which one engine had no request while another had more requests than slots. */
+    [[nodiscard]] double idleBesideWaitingShare() const;
     /** Returns the times at which requests were sent to `engine`, in ascending order. */
     [[nodiscard]] const std::vector<MonoTime> &placementTimes(std::size_t engine);
 
@@ -65,6 +90,17 @@
     void onBroken(enginemodel::JobId job, enginemodel::EngineIndex crashed, MonoTime at) override;
 
 private:
+    /** A prompt or a part of one that an engine has to prefill before the first event of the request. */
+    struct KnownPrefill
+    {
+        enginemodel::JobId job = 0;
+        std::size_t promptClass = 0;
+        bool isHelper = false;
+        double ms = 0;
+        MonoTime sentAt{};
+        /** Time of the first event; the prefills of the last seconds are kept. */
+        std::optional<MonoTime> endedAt;
+    };
     struct Attempt
     {
         std::size_t arrivalIndex = 0;
@@ -74,6 +110,7 @@
         bool isDecoding = false;
         double firstEventMs = -1;
         double maxGapMs = 0;
+        GapCause gapCause = GapCause::None;
     };
 
     Experiment(
@@ -84,6 +121,8 @@
     void checkInactivity(enginemodel::JobId job);
     void endAttempt(enginemodel::JobId job);
     void scheduleWakeUp();
+    void sampleIdle();
+    [[nodiscard]] GapCause gapCause(const Attempt &attempt, enginemodel::JobId job, MonoTime at) const;
     [[nodiscard]] const PromptClass &classOf(std::size_t arrivalIndex) const;
     [[nodiscard]] double msSinceArrival(std::size_t arrivalIndex, MonoTime at) const;
     [[nodiscard]] double remainingMs(std::size_t arrivalIndex) const;
@@ -97,6 +136,11 @@
     std::vector<Outcome> m_outcomes;
     std::vector<bool> m_refusedArrivals;
     std::map<placement::UpstreamKey, std::vector<MonoTime>> m_placedAt;
+    std::map<placement::UpstreamKey, std::vector<KnownPrefill>> m_prefills;
+    // Requests sent, by class, second and engine.
+    std::map<std::pair<std::size_t, std::int64_t>, std::map<placement::UpstreamKey, int>> m_sentCounts;
+    std::size_t m_idleSamples = 0;
+    std::size_t m_samples = 0;
     std::unordered_map<enginemodel::JobId, Attempt> m_attempts;
     enginemodel::JobId m_nextJobId = 1;
     std::optional<MonoTime> m_scheduledWakeUp;
--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -49,22 +49,24 @@
     RunSummary summary;
 };
 
-std::vector<bench::Outcome> runPolicy(const Workload &workload, const RunTask &task, double &busyShare)
+RunSummary runPolicy(const Workload &workload, const RunTask &task)
 {
     if (task.policy == hindsightPolicy) {
-        return runInHindsight(workload, task.arrivals, task.seed);
+        return summarise(workload, runInHindsight(workload, task.arrivals, task.seed), 0);
     }
     const auto experiment = Experiment::make(workload, task.policy, task.arrivals, task.seed);
-    auto outcomes = (*experiment)->run();
-    busyShare = (*experiment)->busyShare();
-    return outcomes;
+    const auto outcomes = (*experiment)->run();
+    RunSummary summary = summarise(workload, outcomes, (*experiment)->busyShare());
+    summary.idleBesideWaiting = (*experiment)->idleBesideWaitingShare();
+    for (std::size_t i = 0; i < summary.classes.size(); ++i) {
+        summary.classes[i].busiestOverMean = (*experiment)->busiestOverMean(i);
+    }
+    return summary;
 }
 
 void runTask(const Workload &workload, RunTask &task)
 {
-    double busyShare = 0;
-    const auto outcomes = runPolicy(workload, task, busyShare);
-    task.summary = summarise(workload, outcomes, busyShare);
+    task.summary = runPolicy(workload, task);
     if (task.policy == hindsightPolicy) {
         return;
     }
@@ -72,8 +74,7 @@
     std::erase_if(firstClassTask.arrivals, [](const Arrival &it) {
         return it.promptClass != 0;
     });
-    const RunSummary firstClassSummary = summarise(workload, runPolicy(workload, firstClassTask, busyShare), busyShare);
-    const double firstClassP95 = firstClassSummary.classes.front().firstEventP95Ms;
+    const double firstClassP95 = runPolicy(workload, firstClassTask).classes.front().firstEventP95Ms;
     task.summary.slowdownP95 = firstClassP95 > 0 ? task.summary.classes.front().firstEventP95Ms / firstClassP95 : 0;
 }
 
--- a/bench/experiment/outcomes.cpp
+++ b/bench/experiment/outcomes.cpp
@@ -124,6 +124,9 @@
             if (it.isDone()) {
                 firstEvents.push_back(it.firstEventMs);
                 gaps.push_back(it.maxGapMs);
+                classSummary.lateFirstEvents += it.hasLateFirstEvent(promptClass) ? 1 : 0;
+                classSummary.longGaps += it.hasLongGap(promptClass) ? 1 : 0;
+                ++classSummary.gapCauses[static_cast<std::size_t>(it.gapCause)];
                 ++(it.isOnTime(promptClass) ? classSummary.onTime : classSummary.late);
             } else {
                 ++classSummary.lost;
@@ -136,6 +139,15 @@
         classSummary.firstEventMedianMs = quantile(firstEvents, median);
         classSummary.firstEventP95Ms = quantile(firstEvents, upperQuantile);
         classSummary.gapP95Ms = quantile(gaps, upperQuantile);
+        std::sort(classOutcomes.begin(), classOutcomes.end(), [](const Outcome *a, const Outcome *b) {
+            return a->arrival->promptTokens < b->arrival->promptTokens;
+        });
+        const std::size_t firstOfTenth = classOutcomes.size() * 9 / 10;
+        for (std::size_t n = firstOfTenth; n < classOutcomes.size(); ++n) {
+            const double share = 1.0 / static_cast<double>(classOutcomes.size() - firstOfTenth);
+            classSummary.largestTenthOnTime += classOutcomes[n]->isOnTime(promptClass) ? share : 0;
+            classSummary.largestTenthServed += classOutcomes[n]->isDone() ? share : 0;
+        }
         classSummary.worstQuartileServed = worstQuartileServed(classOutcomes);
         totalEarnedWorth += earnedWorth;
         totalWorth += classWorth;
--- a/bench/experiment/outcomes.h
+++ b/bench/experiment/outcomes.h
@@ -4,6 +4,7 @@
 #include "experiment.h"
 #include "workload.h"
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,16 @@
     /** Requests without a complete answer. */
     std::size_t lost = 0;
     std::size_t refusals = 0;
+    /** Complete answers whose first event was late, and those with a gap over the target; an answer may be in both. */
+    std::size_t lateFirstEvents = 0;
+    std::size_t longGaps = 0;
+    /** Counts of `longGaps` by GapCause. */
+    std::array<std::size_t, 6> gapCauses{};
+    /** Share on time of the largest tenth by prompt length. */
+    double largestTenthOnTime = 0;
+    double largestTenthServed = 0;
+    /** See Experiment::busiestOverMean(); 0 if not measured. */
+    double busiestOverMean = 0;
     /** Earned worth as a share of the worth of all requests of the class. */
     double worth = 0;
     double firstEventMedianMs = 0;
@@ -49,6 +60,8 @@
     /** Earned share of the worth of all requests in a window; mean of the two worst windows. */
     double worstWindows = 0;
     double busyShare = 0;
+    /** See Experiment::idleBesideWaitingShare(). */
+    double idleBesideWaiting = 0;
     /** Ratio of the p95 first-event time of the first class to the p95 in a run without other classes; 0 if not run. */
     double slowdownP95 = 0;
     std::vector<ClassSummary> classes;
--- a/bench/experiment/policies.cpp
+++ b/bench/experiment/policies.cpp
@@ -61,6 +61,16 @@
     return byCell;
 }
 
+enum class ProductVariant {
+    Current,
+    /** One view of all instances without delay, and the true speeds of the engines. */
+    FullKnowledge,
+    /** The view of the product, with the choice of the engine with the fewest requests. */
+    LeastLoaded,
+    /** The view of the product, with the choice of the less loaded of two random engines. */
+    TwoChoices,
+};
+
 /**
  * The policy of the product: each instance has a placement table and updates the tables of the peers in its cell by
  * messages.
@@ -68,11 +78,14 @@
 class ProductPolicy : public IPolicy
 {
 public:
-    ProductPolicy(const Workload &workload, testing::Schedule &schedule, bool hasSharedTable)
+    ProductPolicy(const Workload &workload, testing::Schedule &schedule, std::uint64_t seed, ProductVariant variant)
         : m_workload(workload)
         , m_schedule(schedule)
-        , m_hasSharedTable(hasSharedTable)
+        , m_random(seed ^ messageSeed)
+        , m_variant(variant)
+        , m_hasSharedTable(variant == ProductVariant::FullKnowledge)
     {
+        const bool hasSharedTable = m_hasSharedTable;
         const std::size_t cells = hasSharedTable ? 1 : fleet::nextCellCount(1, workload.instanceCount);
         std::vector<std::size_t> cellSizes(cells, 0);
         for (std::size_t i = 0; i < workload.instanceCount; ++i) {
@@ -87,6 +100,23 @@
                 const double promptMs = placement::prefillMs(m_workload.engine, it.promptTokens);
                 return promptMs * m_parameters.prefillOverheadFactor / static_cast<double>(it.helpers.size() + 1);
             }));
+            m_slowdowns.emplace_back(workload.engineCount, 1.0);
+        }
+        for (std::size_t i = 0; i < tableCount && !hasSharedTable; ++i) {
+            if (workload.fullStateInterval.count() > 0) {
+                m_schedule.after(workload.fullStateInterval * m_random.below(100) / 100, [this, i] {
+                    sendFullState(i);
+                });
+            }
+            for (const Restart &it : workload.restarts) {
+                if (static_cast<double>(i) < it.share * static_cast<double>(tableCount)) {
+                    m_schedule.at(MonoTime(std::chrono::duration_cast<MonoTime::duration>(
+                                      std::chrono::duration<double>(it.atSecond))),
+                        [this, i] {
+                            restart(i);
+                        });
+                }
+            }
         }
     }
 
@@ -94,17 +124,27 @@
     {
         const auto loads = tableOf(instance).loads(now);
         std::vector<placement::Candidate> candidates = m_candidates[m_cellOfInstance[instance]];
+        for (placement::Candidate &it : candidates) {
+            it.slowdown = m_hasSharedTable ? engineSlowdown(m_workload, it.key - 1) : m_slowdowns[instance][it.key - 1];
+        }
         const limits::PressureTable &pressure = m_pressure[m_hasSharedTable ? 0 : instance];
         std::erase_if(candidates, [&](const placement::Candidate &it) {
             return pressure.availableAt(it.key, 0, 1, now) > now;
         });
-        return placement::chooseEngines(m_workload.engine, work, candidates, loads, m_parameters);
+        if (m_variant == ProductVariant::LeastLoaded || m_variant == ProductVariant::TwoChoices) {
+            return chooseByRequests(candidates, loads);
+        }
+        placement::Decision decision
+            = placement::chooseEngines(m_workload.engine, work, candidates, loads, m_parameters);
+        m_lastPredicted = static_cast<double>(decision.predictedFirstEvent.count());
+        return decision;
     }
 
-    void onPlaced(std::size_t instance, const Placement &placed, MonoTime /*now*/) override
+    void onPlaced(std::size_t instance, const Placement &placed, MonoTime now) override
     {
-        updateTables(instance, [this, placed](placement::PlacementTable &table) {
-            table.put({}, placed, m_schedule.now());
+        m_placed[placed.id] = {placed.primary, now, m_lastPredicted};
+        updateTables(instance, [this, placed, owner = std::to_string(instance)](placement::PlacementTable &table) {
+            table.put(owner, placed, m_schedule.now());
         });
         updatePressure(instance, [this, placed](limits::PressureTable &table) {
             table.recordRequest(placed.primary, 1, m_schedule.now());
@@ -122,8 +162,11 @@
         });
     }
 
-    void onFirstEvent(std::size_t instance, placement::PlacementId id, MonoTime /*now*/) override
+    void onFirstEvent(std::size_t instance, placement::PlacementId id, MonoTime now) override
     {
+        if (!m_hasSharedTable) {
+            recordOwnSlowdown(instance, m_placed.at(id), now);
+        }
         updateTables(instance, [this, id](placement::PlacementTable &table) {
             table.setDecoding(id, m_schedule.now());
         });
@@ -131,12 +174,106 @@
 
     void onEnded(std::size_t instance, placement::PlacementId id, MonoTime /*now*/) override
     {
+        m_placed.erase(id);
         updateTables(instance, [this, id](placement::PlacementTable &table) {
             table.remove(id, m_schedule.now());
         });
     }
 
 private:
+    struct Placed
+    {
+        UpstreamKey engine = 0;
+        MonoTime at{};
+        double predictedMs = 0;
+    };
+
+    /** Measures an engine as the gateway does (`Exchange::forwardEvents`, `OutlierTable::recordSlowdown`). */
+    void recordOwnSlowdown(std::size_t instance, const Placed &placed, MonoTime now)
+    {
+        constexpr double minPredictedMs = 60;
+        constexpr double weight = 0.2;
+        constexpr double maxSlowdown = 6;
+        const double elapsedMs = std::chrono::duration<double, std::milli>(now - placed.at).count();
+        double &slowdown = m_slowdowns[instance][placed.engine - 1];
+        const double ratio = std::clamp(elapsedMs / std::max(minPredictedMs, placed.predictedMs), 1.0, maxSlowdown);
+        slowdown += weight * (ratio - slowdown);
+    }
+
+    /** Chooses by the number of requests in the view of the instance alone. */
+    placement::Decision chooseByRequests(const std::vector<placement::Candidate> &candidates,
+        const std::unordered_map<UpstreamKey, placement::PlacementLoad> &loads)
+    {
+        placement::Decision decision;
+        const auto requestsAt = [&](UpstreamKey key) {
+            const auto load = loads.find(key);
+            return load == loads.end() ? 0 : load->second.requests;
+        };
+        if (candidates.empty()) {
+            return decision;
+        }
+        decision.verdict = placement::Verdict::Send;
+        if (m_variant == ProductVariant::TwoChoices) {
+            const UpstreamKey a = candidates[m_random.below(candidates.size())].key;
+            const UpstreamKey b = candidates[m_random.below(candidates.size())].key;
+            decision.primary = requestsAt(a) <= requestsAt(b) ? a : b;
+            return decision;
+        }
+        decision.primary = std::min_element(candidates.begin(), candidates.end(), [&](const auto &a, const auto &b) {
+            return requestsAt(a.key) < requestsAt(b.key);
+        })->key;
+        return decision;
+    }
+
+    void restart(std::size_t instance)
+    {
+        // The engines go on with the requests of this instance, so only its knowledge of the others is lost.
+        for (std::size_t i = 0; i < m_tables.size(); ++i) {
+            if (i != instance) {
+                m_tables[instance]->removeOwner(std::to_string(i), m_schedule.now());
+            }
+        }
+        std::fill(m_slowdowns[instance].begin(), m_slowdowns[instance].end(), 1.0);
+    }
+
+    void sendFullState(std::size_t instance)
+    {
+        const std::string owner = std::to_string(instance);
+        sendToPeers(instance, m_tables,
+            [this, owner, placements = m_tables[instance]->placementsOf(owner)](placement::PlacementTable &table) {
+                table.replaceAll(owner, placements, m_schedule.now());
+            });
+        m_schedule.after(m_workload.fullStateInterval, [this, instance] {
+            sendFullState(instance);
+        });
+    }
+
+    /** Applies `change` to what each peer in the cell of `instance` knows when it gets the message, if it does. */
+    template <typename Known, typename Change>
+    void sendToPeers(std::size_t instance, std::vector<Known> &known, const Change &change)
+    {
+        for (std::size_t i = 0; i < known.size() && !m_hasSharedTable; ++i) {
+            if (i == instance || m_cellOfInstance[i] != m_cellOfInstance[instance]) {
+                continue;
+            }
+            if (m_workload.peerMessageLoss > 0 && m_random.chance(m_workload.peerMessageLoss)) {
+                continue;
+            }
+            MonoTime::duration delay = m_workload.peerMessageDelay;
+            if (m_workload.maxPeerMessageDelay > m_workload.peerMessageDelay) {
+                const auto most = std::chrono::duration<double>(m_workload.maxPeerMessageDelay - delay);
+                delay += std::chrono::duration_cast<MonoTime::duration>(most * m_random.unit());
+            }
+            m_schedule.after(delay, [&it = known[i], change] {
+                if constexpr (requires { *it; }) {
+                    change(*it);
+                } else {
+                    change(it);
+                }
+            });
+        }
+    }
+
     placement::PlacementTable &tableOf(std::size_t instance)
     {
         return *m_tables[m_hasSharedTable ? 0 : instance];
@@ -146,26 +283,14 @@
     void updateTables(std::size_t instance, const std::function<void(placement::PlacementTable &)> &change)
     {
         change(tableOf(instance));
-        for (std::size_t i = 0; i < m_tables.size() && !m_hasSharedTable; ++i) {
-            if (i != instance && m_cellOfInstance[i] == m_cellOfInstance[instance]) {
-                m_schedule.after(m_workload.peerMessageDelay, [this, i, change] {
-                    change(*m_tables[i]);
-                });
-            }
-        }
+        sendToPeers(instance, m_tables, change);
     }
 
     /** Applies `change` as updateTables() does, to what the engines say of themselves. */
     void updatePressure(std::size_t instance, const std::function<void(limits::PressureTable &)> &change)
     {
         change(m_pressure[m_hasSharedTable ? 0 : instance]);
-        for (std::size_t i = 0; i < m_pressure.size() && !m_hasSharedTable; ++i) {
-            if (i != instance && m_cellOfInstance[i] == m_cellOfInstance[instance]) {
-                m_schedule.after(m_workload.peerMessageDelay, [this, i, change] {
-                    change(m_pressure[i]);
-                });
-            }
-        }
+        sendToPeers(instance, m_pressure, change);
     }
 
     const Workload &m_workload;
@@ -174,7 +299,14 @@
     std::vector<std::vector<placement::Candidate>> m_candidates;
     std::vector<std::size_t> m_cellOfInstance;
     placement::ChoiceParameters m_parameters;
+    static constexpr std::uint64_t messageSeed = 0x9e3779b97f4a7c15ULL;
+    Random m_random;
+    ProductVariant m_variant;
     bool m_hasSharedTable;
+    // By instance and engine.
+    std::vector<std::vector<double>> m_slowdowns;
+    std::unordered_map<placement::PlacementId, Placed> m_placed;
+    double m_lastPredicted = 0;
     std::vector<std::unique_ptr<placement::PlacementTable>> m_tables;
     std::vector<limits::PressureTable> m_pressure;
 };
@@ -347,8 +479,8 @@
 
 const std::vector<std::string> &policyNames()
 {
-    static const std::vector<std::string> names{
-        "choice", "choice-full-knowledge", "round-robin", "least-outstanding", "power-of-two", "fixed-lanes"};
+    static const std::vector<std::string> names{"choice", "choice-full-knowledge", "stale-least", "stale-two",
+        "round-robin", "least-outstanding", "power-of-two", "fixed-lanes"};
     return names;
 }
 
@@ -360,8 +492,11 @@
 std::unique_ptr<IPolicy> makePolicy(
     const std::string &name, const Workload &workload, testing::Schedule &schedule, std::uint64_t seed)
 {
-    if (name == "choice" || name == "choice-full-knowledge") {
-        return std::make_unique<ProductPolicy>(workload, schedule, knowsOutputLength(name));
+    const std::map<std::string, ProductVariant> variants{{"choice", ProductVariant::Current},
+        {"choice-full-knowledge", ProductVariant::FullKnowledge}, {"stale-least", ProductVariant::LeastLoaded},
+        {"stale-two", ProductVariant::TwoChoices}};
+    if (const auto variant = variants.find(name); variant != variants.end()) {
+        return std::make_unique<ProductPolicy>(workload, schedule, seed, variant->second);
     }
     if (name == "round-robin") {
         return std::make_unique<RoundRobin>(workload, seed);
--- a/bench/experiment/report.cpp
+++ b/bench/experiment/report.cpp
@@ -103,7 +103,8 @@
     }
     for (std::size_t i = 0; i < workload.classes.size(); ++i) {
         out << '\n' << std::left << std::setw(nameWidth) << workload.classes[i].name << std::right;
-        for (const char *const name : {"worth", "on time", "late", "lost", "first", "p95", "gap p95", "quarter"}) {
+        for (const char *const name : {"worth", "on time", "late", "lost", "first", "p95", "gap p95", "quarter",
+                 "tenth", "late 1st", "long gap", "uneven"}) {
             out << std::setw(cellWidth) << name;
         }
         out << '\n';
@@ -118,6 +119,18 @@
             cell(spreadOverSeeds(seeds, classMetric(i, &ClassSummary::firstEventP95Ms)).median, 0);
             cell(spreadOverSeeds(seeds, classMetric(i, &ClassSummary::gapP95Ms)).median, 0);
             cell(spreadOverSeeds(seeds, classMetric(i, &ClassSummary::worstQuartileServed)).median, 2);
+            cell(spreadOverSeeds(seeds, classMetric(i, &ClassSummary::largestTenthOnTime)).median, 3);
+            cell(spreadOverSeeds(seeds, classShareMetric(i, &ClassSummary::lateFirstEvents)).median, 3);
+            cell(spreadOverSeeds(seeds, classShareMetric(i, &ClassSummary::longGaps)).median, 3);
+            cell(spreadOverSeeds(seeds, classMetric(i, &ClassSummary::busiestOverMean)).median, 2);
+            std::array<std::size_t, std::tuple_size_v<decltype(ClassSummary::gapCauses)>> causes{};
+            for (const RunSummary &seed : seeds) {
+                for (std::size_t cause = 0; cause < causes.size(); ++cause) {
+                    causes[cause] += seed.classes[i].gapCauses[cause];
+                }
+            }
+            out << "  gaps by slow engine " << causes[1] << ", helper " << causes[2] << ", first class " << causes[3]
+                << ", other " << causes[4] << ", unknown " << causes[5];
             out << '\n';
         }
     }
--- a/bench/experiment/workload.cpp
+++ b/bench/experiment/workload.cpp
@@ -187,6 +187,18 @@
     workload.instanceCount = static_cast<std::size_t>(reader.numberField("instances", 1, 1));
     workload.peerMessageDelay
         = reader.millisecondsField("noteDelayMs", static_cast<double>(workload.peerMessageDelay.count()));
+    workload.maxPeerMessageDelay = reader.millisecondsField("noteDelayMostMs", 0);
+    workload.peerMessageLoss = reader.numberField("noteLoss", 0);
+    workload.fullStateInterval = reader.millisecondsField("fullStateMs", 0);
+    for (const JsonReader &it : reader.objectList("restarts")) {
+        workload.restarts.push_back({it.numberField("atSecond", 0), it.numberField("share", 1)});
+    }
+    for (const JsonReader &it : reader.objectList("speeds")) {
+        constexpr double minSpeed = 0.01;
+        const double speed = it.numberField("speed", 1, minSpeed);
+        const auto engines = static_cast<std::size_t>(it.numberField("engines", 1, 1));
+        workload.engineSpeeds.insert(workload.engineSpeeds.end(), engines, speed);
+    }
     workload.engine = readEngine(reader.objectField("engine"));
     for (const JsonReader &it : reader.objectList("classes")) {
         workload.classes.push_back(readPromptClass(it));
@@ -223,6 +235,11 @@
     return std::nullopt;
 }
 
+double engineSlowdown(const Workload &workload, std::size_t engine)
+{
+    return workload.engineSpeeds.empty() ? 1 : 1 / workload.engineSpeeds[engine % workload.engineSpeeds.size()];
+}
+
 std::vector<Arrival> makeArrivals(const Workload &workload, double seconds, std::uint64_t seed)
 {
     std::vector<Arrival> arrivals;
--- a/bench/experiment/workload.h
+++ b/bench/experiment/workload.h
@@ -59,6 +59,13 @@
     double requestsPerSecond = 1;
 };
 
+/** A time at which the instances of an even share lose their tables, as by a restart. */
+struct Restart
+{
+    double atSecond = 0;
+    double share = 1;
+};
+
 struct Workload
 {
     std::string name;
@@ -66,6 +73,15 @@
     std::size_t instanceCount = 1;
     /** Time until the other instances learn of a placement. */
     Milliseconds peerMessageDelay{2};
+    /** Longest such time; each message takes a uniform time from `peerMessageDelay` to this. 0: always the shortest. */
+    Milliseconds maxPeerMessageDelay{0};
+    /** Share of the messages between instances that are lost. */
+    double peerMessageLoss = 0;
+    /** Time between two messages with which an instance repeats all its placements to a peer; 0 for none. */
+    Milliseconds fullStateInterval{0};
+    std::vector<Restart> restarts;
+    /** Speeds of the engines as shares of the model's; repeated over the engines, 1 if empty. */
+    std::vector<double> engineSpeeds;
     catalogue::EngineModel engine;
     std::vector<PromptClass> classes;
     /** The peaks repeat with this period; 0 for no repetition. */
@@ -77,6 +93,9 @@
 /** Returns the limit that `engine` names `second` seconds after the start. */
 [[nodiscard]] std::optional<double> limitAt(const Workload &workload, std::size_t engine, double second);
 
+/** Returns the factor by which passes of `engine` take longer than in the model. */
+[[nodiscard]] double engineSlowdown(const Workload &workload, std::size_t engine);
+
 struct Arrival
 {
     std::uint64_t id = 0;
