--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -25,7 +25,7 @@
 /** Typical duration of a response; unannounced requests are assumed to have ended after it. */
 constexpr Milliseconds unreportedLifetime{2000};
 
-/** Returns the engine on which a placement decodes; null for plain services and upstreams that are not known. */
+/** Model of the engines of the primary's service; null if it is unknown. */
 const catalogue::EngineModel *engineOf(const GatewayContext &context, const placement::Placement &it)
 {
     const KnownUpstream *knownUpstream = context.upstreams.find(it.primary);
@@ -33,21 +33,18 @@
         return nullptr;
     }
     const auto service = context.catalogue->services.find(knownUpstream->entry.service);
-    if (service == context.catalogue->services.end() || !service->second.engine) {
-        return nullptr;
-    }
-    return &*service->second.engine;
+    return service == context.catalogue->services.end() || !service->second.engine ? nullptr : &*service->second.engine;
 }
 
-/** Returns the prefill time of one engine's part of a placement, in milliseconds. */
+/** Prefill time of one engine's part of a placement, in milliseconds, by the engine model of the primary's service. */
 double prefillPartMs(const GatewayContext &context, const placement::Placement &it)
 {
-    const catalogue::EngineModel *engine = engineOf(context, it);
+    const catalogue::EngineModel *const engine = engineOf(context, it);
     if (engine == nullptr) {
         return 0;
     }
-    const double prefillMs = placement::prefillMs(*engine, it.promptTokens);
-    return prefillMs * context.choice.prefillOverheadFactor / static_cast<double>(it.helpers.size() + 1);
+    return placement::prefillMs(*engine, it.promptTokens) * context.choice.prefillOverheadFactor
+        / static_cast<double>(it.helpers.size() + 1);
 }
 
 /** Returns the time of all passes on an engine whose slots are all in use. */
@@ -67,9 +64,13 @@
     : loop(theLoop)
     , settings(theSettings)
     , connectionPool(theLoop)
-    , placements([this](const placement::Placement &it) {
-        return prefillPartMs(*this, it);
-    })
+    , placements(
+          [this](const placement::Placement &it) {
+              return prefillPartMs(*this, it);
+          },
+          [this](const placement::Placement &it) {
+              return engineOf(*this, it);
+          })
     , memory(memory::memoryLimits(theSettings.maxMemory), theSettings.maxConnections + theSettings.maxRelayConnections)
     , random(seed)
     , path(std::make_unique<PathMonitor>(*this))
