--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -815,6 +815,10 @@
     {
         return machines[i].ip + ':' + std::to_string(m_frontPort);
     }
+    [[nodiscard]] std::string directoryAddress(std::size_t i) const
+    {
+        return machines[i].ip + ':' + std::to_string(m_directoryPort);
+    }
     [[nodiscard]] std::string log(std::size_t i) const
     {
         std::ifstream in(m_directory / (machines[i].name + ".log"));
