--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -804,7 +804,7 @@
     }
     void waitUntilReady(std::size_t i) const
     {
-        for (const std::int64_t until = nowMs() + 10'000; nowMs() < until; sleepMs(50)) {
+        for (const std::int64_t until = nowMs() + 10'000; nowMs() < until; sleepMs(10)) {
             if (isReady(i)) {
                 return;
             }
