Review: pieces of a resumed stream that come twice

Cause: the id at which a requester resumes a stream is read as a floating-point number and taken only above 0.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,4 @@
-// A planned stop beside requesters that read slowly: whether each answer that was begun reaches its requester.
+// Requesters that resume their streams after the death of a gateway: whether the new run goes on after the last piece.
 #include "../standin/stage.h"
 
 using namespace stage;
@@ -6,47 +6,24 @@
 namespace
 {
 
-constexpr int bookingDeadlineMs = 1200;
-constexpr int auditDeadlineMs = 15'000;
-constexpr std::size_t bookingBytes = 140'000;
-constexpr int auditEvents = 400;
-constexpr std::size_t auditEventBytes = 1000;
-/** Bytes a second that the line of a slow requester passes: 1.2 and 0.64 Mbit/s. */
-constexpr std::int64_t bookingLine = 150'000;
-constexpr std::int64_t auditLine = 80'000;
-constexpr int lineBuffer = 16 * 1024;
-constexpr int requestersOfEachKind = 4;
-constexpr std::int64_t graceMs = 8000;
+constexpr int deadlineMs = 10'000;
+constexpr int pieceCount = 20;
+constexpr std::int64_t pieceGapMs = 200;
+constexpr int streamCount = 4;
 
-struct Ask
-{
-    std::string kind{};
-    std::string id{};
-    std::int64_t sentAt = 0;
-    std::int64_t endedAt = 0;
-    int status = 0;
-    std::size_t bytes = 0;
-    bool isComplete = false;
-    std::string end{};
-};
-
-std::mutex runsMutex;
-/** When the worker had written the whole answer; 0 while it is at work. */
-std::map<std::string, std::int64_t> answeredAt;
+/** The streams with ids from a time stamp begin sooner, so that several of their pieces have arrived at the kill. */
+constexpr std::int64_t leadMs = 900;
 
-std::string auditEvent(int id)
+bool isStamped(int stream)
 {
-    return "id: " + std::to_string(id) + "\ndata: " + std::string(auditEventBytes, static_cast<char>('a' + id % 26))
-        + "\n\n";
+    return stream % 2 == 1;
 }
 
-std::string bookingBody(const std::string &id)
+/** Ids of the pieces of a stream: they increase by one, from 0 or from a time stamp of 63 bits. */
+std::uint64_t firstId(int stream)
 {
-    std::string body;
-    while (body.size() < bookingBytes) {
-        body += id;
-    }
-    return body.substr(0, bookingBytes);
+    constexpr std::uint64_t stampMs = 1'764'900'000'000;
+    return isStamped(stream) ? stampMs << 22U : 0;
 }
 
 std::string chunk(const std::string &bytes)
@@ -56,101 +33,36 @@
     return size + bytes + "\r\n";
 }
 
-/** Reads the answer at the speed of the requester's line; 0 for no limit. */
-void readAnswer(Connection &connection, Ask &ask, std::int64_t line, std::int64_t deadline)
+/** Takes the whole pieces out of a chunked stream of events; each piece comes as one chunk or several. */
+class PieceReader
 {
-    Message head;
-    if (!readHead(connection, head, deadline)) {
-        ask.end = connection.end();
-        ask.endedAt = nowMs();
-        return;
-    }
-    ask.status = head.status();
-    const bool isChunked = head.field("Transfer-Encoding") == "chunked";
-    const auto length = static_cast<std::size_t>(std::atol(head.field("Content-Length").c_str()));
-    std::string body;
-    std::string &input = connection.input;
-    while (true) {
-        if (isChunked) {
-            std::size_t lineEnd = 0;
-            bool isLast = false;
-            while ((lineEnd = input.find("\r\n")) != std::string::npos) {
-                const std::size_t size = std::strtoul(input.c_str(), nullptr, 16);
-                if (input.size() < lineEnd + 2 + size + 2) {
-                    break;
-                }
-                body += input.substr(lineEnd + 2, size);
-                input.erase(0, lineEnd + 2 + size + 2);
-                isLast = size == 0;
+public:
+    /** Returns false when the stream is complete. */
+    bool feed(std::string &input, std::vector<std::uint64_t> &ids)
+    {
+        while (true) {
+            const std::size_t lineEnd = input.find("\r\n");
+            if (lineEnd == std::string::npos) {
+                return true;
             }
-            if (isLast) {
-                break;
+            const std::size_t size = std::strtoul(input.c_str(), nullptr, 16);
+            if (input.size() < lineEnd + 2 + size + 2) {
+                return true;
             }
-        } else {
-            body += input;
-            input.clear();
-            if (body.size() >= length) {
-                break;
+            m_text.append(input, lineEnd + 2, size);
+            input.erase(0, lineEnd + 2 + size + 2);
+            for (std::size_t end = 0; (end = m_text.find("\n\n")) != std::string::npos; m_text.erase(0, end + 2)) {
+                ids.push_back(std::strtoull(m_text.c_str() + std::strlen("id: "), nullptr, 10));
+            }
+            if (size == 0) {
+                return false;
             }
         }
-        ask.bytes = body.size();
-        constexpr std::int64_t step = 40;
-        const std::size_t limit = line == 0 ? 65536 : static_cast<std::size_t>(line * step / 1000);
-        if (!connection.fill(deadline - nowMs(), limit)) {
-            ask.end = connection.end();
-            ask.endedAt = nowMs();
-            return;
-        }
-        if (line != 0) {
-            sleepMs(step);
-        }
-    }
-    std::string whole;
-    if (ask.kind == "audit") {
-        for (int i = 1; i <= auditEvents; ++i) {
-            whole += auditEvent(i);
-        }
-    } else if (ask.kind != "warm-up") {
-        whole = bookingBody(ask.id);
     }
-    ask.bytes = body.size();
-    ask.endedAt = nowMs();
-    ask.isComplete = ask.kind == "warm-up" || body == whole;
-    ask.end = ask.isComplete ? "complete" : "other bytes";
-}
 
-void runRequest(Record &record, Worker &worker, Connection &connection, const Message &request)
-{
-    const std::string id = request.field("Request-Id");
-    record.line("run " + id + " at " + worker.id());
-    {
-        const std::lock_guard lock(runsMutex);
-        answeredAt[id] = 0;
-    }
-    const std::string fields = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: 1." + id
-        + "\r\nServer-Load: " + worker.load();
-    bool isWritten = true;
-    if (request.target().starts_with("/audit/")) {
-        isWritten
-            = connection.write(fields + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int i = 1; i <= auditEvents && isWritten; ++i) {
-            isWritten = connection.write(chunk(auditEvent(i)));
-            sleepMs(4);
-        }
-        isWritten = isWritten && connection.write("0\r\n\r\n");
-    } else {
-        sleepMs(30);
-        const std::string body = request.target().starts_with("/book/warm") ? std::string(800, 'w') : bookingBody(id);
-        isWritten = connection.write(fields + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    }
-    const std::lock_guard lock(runsMutex);
-    if (isWritten) {
-        answeredAt[id] = nowMs();
-        record.line("answer written " + id);
-    } else {
-        record.line("answer cut off " + id);
-    }
-}
+private:
+    std::string m_text;
+};
 
 } // namespace
 
@@ -159,29 +71,39 @@
     std::signal(SIGPIPE, SIG_IGN);
     const std::string folder = argc > 1 ? argv[1] : ".";
     Record record(folder + "/record.txt");
-    record.line(isTroubleOn() ? "with the planned stop" : "without the planned stop");
+    record.line(isTroubleOn() ? "a gateway process is killed" : "no process is killed");
     const Network network;
     Store store(network.ip(1));
     const auto run = [&](Worker &worker, Connection &connection, const Message &request) {
-        runRequest(record, worker, connection, request);
+        const std::string id = request.field("Request-Id");
+        const std::string resumedAt = request.field("Last-Event-Id");
+        const std::uint64_t first = firstId(std::atoi(request.target().c_str() + std::strlen("/ask/")));
+        record.line("run " + id + " at " + worker.id() + ", Last-Event-Id "
+            + (resumedAt.empty() ? "not given" : '"' + resumedAt + '"'));
+        bool isWritten = connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: 3e1b." + id
+            + "\r\nServer-Load: " + worker.load()
+            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const std::uint64_t from = resumedAt.empty() ? first : std::strtoull(resumedAt.c_str(), nullptr, 10) + 1;
+        for (std::uint64_t i = std::max(from, first); i < first + pieceCount && isWritten; ++i) {
+            isWritten = connection.write(
+                chunk("id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i - first) + "\n\n"));
+            sleepMs(pieceGapMs);
+            isWritten = isWritten && !connection.hasEnded();
+        }
+        if (isWritten) {
+            connection.write("0\r\n\r\n");
+        }
     };
-    const std::vector<std::string> zones{"luzon-a", "luzon-b", "luzon-c"};
+    const std::vector<std::string> zones{"gt-central-a", "gt-central-b", "gt-central-c"};
     std::vector<std::unique_ptr<Worker>> workers;
     for (std::size_t i = 0; i < zones.size(); ++i) {
-        const int host = 100 + static_cast<int>(i);
-        workers.push_back(
-            std::make_unique<Worker>(store, network.ip(host), "i-app" + newId(), "app", zones[i], 6, run));
-        workers.push_back(
-            std::make_unique<Worker>(store, network.ip(host), "i-llm" + newId(), "llm", zones[i], 16, run));
+        workers.push_back(std::make_unique<Worker>(
+            store, network.ip(100 + static_cast<int>(i)), "i-" + newId(), "llm", zones[i], 16, run));
     }
     Json configuration = sheetConfiguration(7);
-    configuration["Routes"][0]["TargetLatencyMs"] = configuration["Routes"][1]["TargetLatencyMs"] = 120;
-    configuration["Routes"][0]["TimeoutMs"] = bookingDeadlineMs;
-    configuration["Routes"][1]["TimeoutMs"] = bookingDeadlineMs;
-    configuration["Routes"].push_back({{"Name", "r-audit"}, {"Host", "ficu95.example"}, {"Prefix", "/audit/"},
-        {"Kind", "streaming"}, {"TimeoutMs", auditDeadlineMs}, {"TargetLatencyMs", 8000}, {"Priority", 1},
-        {"Service", "llm"}, {"MaxAttempts", 2}, {"Public", false}, {"SessionAffinity", true}, {"Resumable", true},
-        {"GapTargetMs", 1000}});
+    configuration["Routes"].push_back({{"Name", "r-ask"}, {"Host", "ficu95.example"}, {"Prefix", "/ask/"},
+        {"Kind", "streaming"}, {"TimeoutMs", deadlineMs}, {"TargetLatencyMs", 300}, {"Priority", 1}, {"Service", "llm"},
+        {"MaxAttempts", 2}, {"Public", false}, {"SessionAffinity", true}, {"Resumable", true}, {"GapTargetMs", 250}});
     configuration["Services"].push_back(Json::parse(
         R"({"Name":"llm","HealthPath":"/health","MaxConnections":434,"Protocol":"h1","Tls":false,"Engine":{"Slots":16,
         "KvCapacityTokens":405000,"KvBytes":163840,"LinkMbps":400000.0,"Stride":34,"Models":[{"Name":"m"}],
@@ -191,89 +113,92 @@
     for (const auto &it : workers) {
         it->announce();
     }
-    Gateways gateways(network, record, store.address(), zones,
-        {{"Bounds",
-            {{"ContactMs", 4000}, {"AckTimeoutMs", 6000}, {"CatchUpS", 6}, {"DrainMs", 3000}, {"ConfigApplyMs", 3000},
-                {"MaxStretchMs", 6000}, {"BudgetSlack", 230}, {"ColdOver", 1.5}, {"ColdSlack", 5}, {"EvacuateMs", 5000},
-                {"RecoveryS", 15}, {"PassMs", 200}}}});
+    Gateways gateways(network, record, store.address(), zones);
     gateways.startAll();
-
-    constexpr std::size_t stopped = 0;
-    std::vector<Ask> asks;
-    for (int i = 0; i < requestersOfEachKind; ++i) {
-        for (const char *kind : {"audit", "booking", "booking over a fast line"}) {
-            asks.push_back({kind, newId()});
-        }
-    }
-    std::atomic<std::int64_t> stopAt = 0;
-    // ContactMs passes without any disruption first.
-    const std::int64_t begin = nowMs() + 4500;
+    sleepMs(3500);
+    std::atomic<int> begun = 0;
+    std::atomic<int> twice = 0;
+    std::atomic<int> missing = 0;
+    std::atomic<int> whole = 0;
     std::vector<std::thread> requesters;
-    for (Ask &ask : asks) {
-        requesters.emplace_back([&] {
-            const bool isFast = ask.kind == "booking over a fast line";
-            const auto connection = Connection::open(gateways.frontAddress(stopped), 1000, isFast ? 0 : lineBuffer);
-            Ask warmUp{"warm-up", newId()};
-            if (!connection
-                || !connection->write(requestBytes("POST", "/book/warm", warmUp.id, bookingDeadlineMs, "{}"))) {
-                ask.end = "no channel";
-                return;
-            }
-            readAnswer(*connection, warmUp, 0, nowMs() + bookingDeadlineMs);
-            const bool isAudit = ask.kind == "audit";
-            sleepMs(begin + (isAudit ? 0 : 1000) - nowMs());
-            ask.sentAt = nowMs();
-            const int deadline = isAudit ? auditDeadlineMs : bookingDeadlineMs;
-            const std::string bytes = isAudit
-                ? requestBytes("POST", "/audit/1", ask.id, deadline, "{\"prompt\":\"audit\"}",
-                    {{"Model", "m"}, {"Token-Usage", "2000,1266"}, {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:1200"}})
-                : requestBytes("POST", "/book/1", ask.id, deadline, "{\"pickup\":1}");
-            record.line("send " + ask.kind + ' ' + ask.id);
-            if (!connection->write(bytes)) {
-                ask.end = "not sent";
-                return;
+    for (int k = 0; k < streamCount; ++k) {
+        requesters.emplace_back([&, k] {
+            sleepMs(isStamped(k) ? 0 : leadMs);
+            const std::int64_t until = nowMs() + deadlineMs;
+            std::vector<std::uint64_t> ids;
+            bool isComplete = false;
+            // The first attempt goes to the machine that is killed; a broken stream is resumed once at another.
+            for (int attempt = 0; attempt < 2 && !isComplete; ++attempt) {
+                const std::size_t machine = attempt == 0 ? 0 : 1 + static_cast<std::size_t>(k) % 2;
+                const std::string id = newId();
+                std::vector<std::pair<std::string, std::string>> fields{
+                    {"Model", "m"}, {"Token-Usage", "4960,1266"}, {"Prompt-Prefix", "5c1e07a2:40,91bd3f06:4920"}};
+                if (!ids.empty()) {
+                    fields.emplace_back("Last-Event-Id", std::to_string(ids.back()));
+                }
+                record.line("send " + id + " to " + gateways.machines[machine].name
+                    + (ids.empty() ? "" : ", Last-Event-Id \"" + std::to_string(ids.back()) + '"'));
+                const auto connection = Connection::open(gateways.frontAddress(machine), 1000);
+                Message answer;
+                if (!connection
+                    || !connection->write(requestBytes("POST", "/ask/" + std::to_string(k), id,
+                        static_cast<int>(until - nowMs()), "{\"prompt\":\"short\"}", fields))
+                    || !readHead(*connection, answer, until) || answer.status() != 200) {
+                    record.line("no stream for " + id);
+                    continue;
+                }
+                const std::size_t before = ids.size();
+                PieceReader reader;
+                while (reader.feed(connection->input, ids)) {
+                    if (attempt == 0 && before == 0 && !ids.empty()) {
+                        // Counts once.
+                        static thread_local bool hasBegun = false;
+                        begun += hasBegun ? 0 : 1;
+                        hasBegun = true;
+                    }
+                    if (!connection->fill(until - nowMs())) {
+                        break;
+                    }
+                }
+                isComplete = connection->end().empty();
+                std::string list;
+                for (std::size_t i = before; i < ids.size(); ++i) {
+                    list += (list.empty() ? "" : " ") + std::to_string(ids[i]);
+                }
+                record.line("stream " + id + (isComplete ? " complete" : " broken off") + ", pieces " + list);
             }
-            readAnswer(*connection, ask, isFast ? 0 : isAudit ? auditLine : bookingLine, ask.sentAt + deadline);
-            record.line("end " + ask.kind + ' ' + ask.id + " status " + std::to_string(ask.status) + " bytes "
-                + std::to_string(ask.bytes) + ": " + ask.end);
+            std::set<std::uint64_t> distinct(ids.begin(), ids.end());
+            const bool hasRepeated = distinct.size() < ids.size();
+            const bool hasMissing = isComplete && distinct.size() < pieceCount;
+            twice += hasRepeated ? 1 : 0;
+            missing += hasMissing ? 1 : 0;
+            whole += isComplete && !hasRepeated && !hasMissing ? 1 : 0;
+            record.line("request " + std::to_string(k) + ": "
+                + (hasRepeated       ? "ORDER: pieces came twice"
+                        : hasMissing ? "ORDER: pieces are missing"
+                        : isComplete ? "each piece once"
+                                     : "not complete"));
         });
     }
-    sleepMs(begin + 500 - nowMs());
     if (isTroubleOn()) {
-        stopAt = nowMs();
-        gateways.signal(stopped, SIGTERM, "SIGTERM");
+        for (const std::int64_t until = nowMs() + 3000; begun < streamCount && nowMs() < until;) {
+            sleepMs(2);
+        }
+        gateways.signal(0, SIGKILL, "KILL");
+        sleepMs(500);
+        if (gateways.hasEnded(0)) {
+            gateways.start(0);
+        }
     }
     for (std::thread &it : requesters) {
         it.join();
     }
-    if (isTroubleOn() && !gateways.hasEnded(stopped)) {
-        sleepMs(stopAt + graceMs - nowMs());
-    }
     gateways.saveLogs("build-review/2.log");
-
-    // LOST: read whole and passed on to a worker, and the channel ends without a complete answer. Not counted: the
-    // worker broke off, the deadline was reached, or the worker was still at work in the last sixth of GraceS.
-    int lost = 0;
-    int unfit = 0;
-    for (const Ask &ask : asks) {
-        const std::lock_guard lock(runsMutex);
-        const bool isRun = answeredAt.contains(ask.id);
-        const bool isAnswered = isRun && answeredAt[ask.id] > 0;
-        const bool isTimeUp = ask.end == "time is up";
-        if (!ask.isComplete && isRun && isAnswered && !isTimeUp) {
-            ++lost;
-            record.line("LOST " + ask.kind + ' ' + ask.id + ": the worker had written its whole answer at "
-                + std::to_string(answeredAt[ask.id]) + " ms, the channel ended at " + std::to_string(ask.endedAt)
-                + " ms after " + std::to_string(ask.bytes) + " bytes, " + std::to_string(ask.endedAt - stopAt)
-                + " ms after the SIGTERM");
-        } else if (!ask.isComplete) {
-            ++unfit;
-        }
-    }
-    record.line("lost " + std::to_string(lost) + " of " + std::to_string(asks.size()) + ", otherwise not complete "
-        + std::to_string(unfit));
-    if (!isTroubleOn() && unfit > 0) {
-        finish(2);
+    record.line("streams with repeated pieces " + std::to_string(twice) + ", with missing pieces "
+        + std::to_string(missing) + ", with each piece once " + std::to_string(whole) + " of "
+        + std::to_string(streamCount));
+    if (twice + missing > 0) {
+        finish(1);
     }
-    finish(lost > 0 ? 1 : 0);
+    finish(whole == streamCount ? 0 : 2);
 }
