Review: the case of the partial answer on segments as between machines

Cause: on loopback the system's buffers sometimes held the whole body, so that nothing was pending at the reset. Change: the stand-ins of the workers ask for segments of 1,448 bytes; bodies of 2 MB.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -9,7 +9,10 @@
 
 constexpr int deadlineMs = 2500;
 /** `MaxBodyBytes` of the configuration is 4 MiB. */
-constexpr std::size_t requestBytesCount = 4'000'000;
+constexpr std::size_t requestBytesCount = 2'000'000;
+/** A network as between machines: the system's buffers on loopback would hold most of a body. */
+constexpr int maxSegment = 1448;
+constexpr int receiveBuffer = 128 * 1024;
 constexpr int partCount = 30;
 constexpr int partsBeforeCrash = 10;
 constexpr int requestCount = 6;
@@ -40,9 +43,12 @@
         : m_store(store)
         , m_record(record)
         , m_id("i-" + newId())
-        , m_server(ip, [this](const auto &connection) {
-            serve(*connection);
-        })
+        , m_server(
+              ip,
+              [this](const auto &connection) {
+                  serve(*connection);
+              },
+              maxSegment, receiveBuffer)
     {
         store.put("servers/" + m_id,
             Json{{"Service", "app"}, {"Address", m_server.address()}, {"Zone", std::move(zone)}, {"Version", "v1"},
--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -279,12 +279,19 @@
 public:
     using Serve = std::function<void(const std::shared_ptr<Connection> &)>;
 
-    Server(const std::string &ip, Serve serve)
+    /** `maxSegment` and `receiveBuffer` of 0 leave these to the system. */
+    Server(const std::string &ip, Serve serve, int maxSegment = 0, int receiveBuffer = 0)
         : m_serve(std::move(serve))
     {
         m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        if (maxSegment > 0) {
+            ::setsockopt(m_fd, IPPROTO_TCP, TCP_MAXSEG, &maxSegment, sizeof(maxSegment));
+        }
+        if (receiveBuffer > 0) {
+            ::setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
         sockaddr_in addr = toSockaddr(ip + ":0");
         socklen_t size = sizeof(addr);
         if (::bind(m_fd, reinterpret_cast<const sockaddr *>(&addr), sizeof(addr)) != 0 || ::listen(m_fd, 512) != 0
