--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -104,8 +104,7 @@
             }).detach();
             return;
         }
-        while (connection.input.size() < length && connection.fill(5000, 65'536)) {
-        }
+        while (connection.input.size() < length && connection.fill(5000, 65'536)) { }
         m_record.line("whole answer of " + id + " written, " + std::to_string(connection.input.size())
             + " bytes of the body read, channel closed");
         connection.close();
@@ -130,8 +129,8 @@
     const std::vector<std::string> zones{"gt-central-a", "gt-central-b", "gt-central-c"};
     std::vector<std::unique_ptr<EarlyWorker>> workers;
     const auto startWorker = [&](const std::string &zone) {
-        workers.push_back(std::make_unique<EarlyWorker>(
-            store, record, network.ip(100 + static_cast<int>(workers.size())), zone));
+        workers.push_back(
+            std::make_unique<EarlyWorker>(store, record, network.ip(100 + static_cast<int>(workers.size())), zone));
     };
     for (const std::string &it : zones) {
         startWorker(it);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -66,7 +66,8 @@
     };
     std::string id;
     for (std::size_t machine = 0; machine < zones.size(); ++machine) {
-        if (ask(machine, droppedKey, "key of the tenant", id) != 200 || ask(machine, unknownKey, "unknown key", id) != 401) {
+        if (ask(machine, droppedKey, "key of the tenant", id) != 200
+            || ask(machine, unknownKey, "unknown key", id) != 401) {
             giveUp("the keys are not checked before the change");
         }
     }
