--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -140,6 +140,7 @@
         return;
     }
     if (!limits::takeRetry(retryBudget(m_context, m_service))) {
+        m_context.metrics.increment("magnolia_gateway_retries_withheld_total");
         giveUp("retry_budget", m_route.latencyTarget);
         return;
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -55,6 +55,14 @@
 constexpr std::string_view toldByStore = "store";
 constexpr std::string_view toldByPeer = "peer";
 
+/** Upstreams that one line of the log names for each kind of change. */
+constexpr std::size_t maxLoggedUpstreams = 16;
+
+std::vector<std::string> firstIds(const std::vector<std::string> &ids)
+{
+    return {ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(std::min(ids.size(), maxLoggedUpstreams))};
+}
+
 std::uint32_t toUint32(double value)
 {
     return static_cast<std::uint32_t>(std::clamp(value, 0.0, 4e9));
@@ -145,6 +153,7 @@
     /** `toldBy` is the source of the changes: the store or a peer. */
     void onPublishedStateChanged(
         const published::PublishedState::ChangeFlags &changes, std::string_view toldBy = toldByStore);
+    void logUpstreamsChanged(const UpstreamIndex::Difference &difference, std::string_view toldBy) const;
     /** Responds to requests that need no operator access: readiness and caller addresses. */
     [[nodiscard]] ControlResponse respond(std::string_view path, std::string_view query);
     [[nodiscard]] ControlResponse respondToOperator(std::string_view path, std::string_view query);
@@ -397,15 +406,10 @@
             {{"version", context.catalogue->version}, {"store_reached", storeReader.isConnected()}});
     }
     if (changes.hasChangedUpstreams) {
-        context.upstreams.rebuild(publishedState.upstreams(), settings.dataCentre);
+        const UpstreamIndex::Difference difference
+            = context.upstreams.rebuild(publishedState.upstreams(), settings.dataCentre);
         context.crashes->onUpstreamsChanged();
-        const auto leavingCount
-            = std::count_if(publishedState.upstreams().begin(), publishedState.upstreams().end(), [](const auto &it) {
-                  return it.second.entry.isLeaving;
-              });
-        logging::write(logging::Level::Info, "gateway", "upstreams_changed",
-            {{"known", std::uint64_t{context.upstreams.size()}}, {"leaving", std::int64_t{leavingCount}},
-                {"revision", publishedState.position().revision}});
+        logUpstreamsChanged(difference, toldBy);
     }
     if (changes.hasChangedUpstreams || changes.hasColdUpstreams || changes.hasNewConfiguration) {
         context.cold->onPublished(publishedState.upstreams(), areRunsComplete);
@@ -436,6 +440,19 @@
     }
 }
 
+void Gateway::Parts::logUpstreamsChanged(const UpstreamIndex::Difference &difference, std::string_view toldBy) const
+{
+    const auto leavingCount
+        = std::count_if(publishedState.upstreams().begin(), publishedState.upstreams().end(), [](const auto &it) {
+              return it.second.entry.isLeaving;
+          });
+    logging::write(logging::Level::Info, "gateway", "upstreams_changed",
+        {{"known", std::uint64_t{context.upstreams.size()}}, {"leaving", std::int64_t{leavingCount}},
+            {"revision", publishedState.position().revision}, {"told_by", toldBy},
+            {"added", firstIds(difference.added)}, {"removed", firstIds(difference.removed)},
+            {"now_leaving", firstIds(difference.nowLeaving)}});
+}
+
 void Gateway::Parts::openToCallers()
 {
     if (callerListener) {
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -113,6 +113,9 @@
     budget.ratio = context.settings.retryRatio;
     budget.maxBalance = std::max(1.0, context.settings.retrySlack * usableSlackShare / instances);
     budget.balance = std::max(1.0, budget.maxBalance * initialBalanceShare);
+    logging::write(logging::Level::Info, "gateway", "retry_budget_opened",
+        {{"service", std::string_view(service)}, {"instances", instances}, {"maximum", budget.maxBalance},
+            {"balance", budget.balance}});
     return context.retryBudgets.emplace(service, budget).first->second;
 }
 
--- a/src/gateway/internal/upstreamindex.cpp
+++ b/src/gateway/internal/upstreamindex.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace magnolia::gateway
 {
@@ -23,12 +24,12 @@
     return stableHash(id.value());
 }
 
-void UpstreamIndex::rebuild(
+UpstreamIndex::Difference UpstreamIndex::rebuild(
     const std::map<std::string, published::PublishedState::UpstreamRecord> &records, const DataCentreId &ownDataCentre)
 {
     ++m_generation;
     m_byService.clear();
-    m_byKey.clear();
+    const auto previous = std::exchange(m_byKey, {});
     for (const auto &[name, it] : records) {
         KnownUpstream knownUpstream{
             keyOf(it.entry.id), it.entry, Milliseconds(it.entry.dataCentre == ownDataCentre ? 0 : 1)};
@@ -49,6 +50,27 @@
             return a.key < b.key;
         });
     }
+    return differenceFrom(previous);
+}
+
+UpstreamIndex::Difference UpstreamIndex::differenceFrom(
+    const std::unordered_map<placement::UpstreamKey, KnownUpstream> &previous) const
+{
+    Difference difference;
+    for (const auto &[key, it] : m_byKey) {
+        const auto before = previous.find(key);
+        if (before == previous.end()) {
+            difference.added.push_back(it.entry.id.value());
+        } else if (it.entry.isLeaving && !before->second.entry.isLeaving) {
+            difference.nowLeaving.push_back(it.entry.id.value());
+        }
+    }
+    for (const auto &[key, it] : previous) {
+        if (!m_byKey.contains(key)) {
+            difference.removed.push_back(it.entry.id.value());
+        }
+    }
+    return difference;
 }
 
 bool UpstreamIndex::markLeaving(placement::UpstreamKey key, std::uint64_t startedAt)
--- a/src/gateway/internal/upstreamindex.h
+++ b/src/gateway/internal/upstreamindex.h
@@ -30,7 +30,15 @@
     /** Returns the key that identifies an upstream between instances. */
     [[nodiscard]] static placement::UpstreamKey keyOf(const UpstreamId &id);
 
-    void rebuild(const std::map<std::string, published::PublishedState::UpstreamRecord> &records,
+    /** Ids of the upstreams that a rebuild has changed. */
+    struct Difference
+    {
+        std::vector<std::string> added;
+        std::vector<std::string> removed;
+        std::vector<std::string> nowLeaving;
+    };
+
+    Difference rebuild(const std::map<std::string, published::PublishedState::UpstreamRecord> &records,
         const DataCentreId &ownDataCentre);
 
     /**
@@ -49,6 +57,9 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
+    [[nodiscard]] Difference differenceFrom(
+        const std::unordered_map<placement::UpstreamKey, KnownUpstream> &previous) const;
+
     std::unordered_map<std::string, std::vector<KnownUpstream>> m_byService;
     std::unordered_map<placement::UpstreamKey, KnownUpstream> m_byKey;
     // Start times of the runs that were marked as leaving; what is published may still call them ready.
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -1,6 +1,8 @@
 // Implements the published state.
 #include "published/publishedstate.h"
 
+#include "framework/logging/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -130,6 +132,9 @@
     if (known != m_upstreams.end() && now < m_leaseGraceUntil && !known->second.entry.isLeaving) {
         if (!known->second.removeAt) {
             known->second.removeAt = m_leaseGraceUntil;
+            logging::write(logging::Level::Info, "published", "removal_delayed",
+                {{"item", std::string_view(key)}, {"revision", position.revision},
+                    {"delay_ms", std::int64_t{toMilliseconds(m_leaseGraceUntil - now).count()}}});
         }
         known->second.missingAt = std::max(known->second.missingAt, position);
         return {};
