--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -416,6 +416,112 @@
     CHECK(fixture.response.body == (isReset ? "" : "ok"));
 }
 
+TEST_CASE("an earlier refusal that an upstream repeats on a kept connection is no answer to the next request")
+{
+    const std::string repeatedId = GENERATE("id-1", "");
+    const bool isAnswerFollowing = GENERATE(true, false);
+    GatewayFixture fixture;
+    std::vector<const Connection *> used;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        used.push_back(&connection);
+        if (used.size() == 1) {
+            connection.send(plainResponse(request, 503, "", "Not-Executed: 1\r\n"));
+            return;
+        }
+        connection.send("HTTP/1.1 503 X\r\n" + (repeatedId.empty() ? "" : "Request-Id: " + repeatedId + "\r\n")
+            + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        if (isAnswerFollowing) {
+            respondWithEvents(connection, request, 1, 2);
+        } else {
+            connection.close();
+        }
+    };
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream), "id-1");
+    REQUIRE(fixture.response.head.status == 503);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream), "id-2");
+    REQUIRE(used.size() >= 2);
+    CHECK(used[0] == used[1]);
+    CHECK(fixture.response.head.status == (isAnswerFollowing ? 200 : 502));
+    CHECK(fixture.response.body == (isAnswerFollowing ? eventsText(1, 2) : ""));
+}
+
+TEST_CASE("a stream whose next upstream answers with an error holds nothing of the error and does not end as complete")
+{
+    const std::string error = GENERATE(as<std::string>(), "HTTP/1.1 500 X\r\n", "HTTP/1.1 503 X\r\n",
+        "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n", "HTTP/1.1 400 X\r\n", "HTTP/1.1 302 X\r\n",
+        "HTTP/1.1 500 X\r\nBare: \n");
+    const std::string body
+        = GENERATE(as<std::string>(), "", R"({"error":"overloaded"})", "error: overloaded\n\n", "data: overloaded\n\n");
+    const bool hasLength = GENERATE(true, false);
+    INFO(error << body << (hasLength ? " with a length" : " until the end of the connection"));
+    GatewayFixture fixture;
+    int count = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (count++ == 0) {
+            connection.send(eventStreamHead(request) + eventChunk(1) + eventChunk(2));
+            connection.close();
+            return;
+        }
+        connection.send(error + "Request-Id: " + headerField(request, "Request-Id") + "\r\n"
+            + (hasLength ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "") + "\r\n" + body);
+        if (!hasLength) {
+            connection.close();
+        }
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream));
+    CHECK(fixture.response.body == eventsText(1, 2));
+    CHECK(fixture.response.isAborted);
+    CHECK_FALSE(fixture.response.isComplete);
+}
+
+TEST_CASE("an error that the next upstream of a stream writes as the body of a success does not reach the caller")
+{
+    const std::string body = GENERATE(as<std::string>(), R"({"error":"overloaded"})", "error: overloaded\n\n",
+        "data: overloaded\n\n", "HTTP/1.1 500 X\r\n\r\nfailed\n\n");
+    GatewayFixture fixture;
+    int count = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (count++ == 0) {
+            connection.send(eventStreamHead(request) + eventChunk(1) + eventChunk(2));
+            connection.close();
+            return;
+        }
+        connection.send(plainResponse(request, 200, body));
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream));
+    CHECK(fixture.response.body == eventsText(1, 2));
+    CHECK(fixture.response.isAborted);
+    CHECK_FALSE(fixture.response.isComplete);
+}
+
+TEST_CASE("an error that an upstream writes into its stream does not reach the caller")
+{
+    const std::string framing = GENERATE("", "Content-Length: 1000\r\n");
+    const std::string error = GENERATE(as<std::string>(), "HTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\nfailed\n\n",
+        "HTTP/1.1 500 X\nContent-Length: 7\n\nfailed\n\n", "\r\n\r\nfailed\n\nid: 9\ndata: e9\n\n");
+    GatewayFixture fixture;
+    int count = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (count++ == 0) {
+            connection.send("HTTP/1.1 200 OK\r\nRequest-Id: " + headerField(request, "Request-Id")
+                + "\r\nResponse-Signature: s\r\n" + framing + "\r\n" + eventsText(1, 2) + "id: 3\nda" + error);
+            connection.close();
+            return;
+        }
+        respondWithEvents(connection, request, 3, 4);
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(RouteKind::Stream));
+    CHECK(fixture.response.body == eventsText(1, 4));
+    CHECK(fixture.response.isComplete);
+}
+
 TEST_CASE("when the caller disconnects, the upstream connection is closed and the request is not retried")
 {
     GatewayFixture fixture;
@@ -616,6 +722,41 @@
     CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) > 50);
 }
 
+TEST_CASE("a request whose memory is being reserved is not sent to an upstream that leaves or is removed meanwhile")
+{
+    const bool isRemoved = GENERATE(false, true);
+    GatewayFixture fixture;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (!request.starts_with("POST /order")) {
+            respondWithEvents(connection, request, 1, 2);
+            return;
+        }
+        fixture.loop.after(Milliseconds(100), [stream = connection.stream] {
+            stream->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        });
+    };
+    addSmallEngines(fixture, script);
+    httpwire::RequestHead head = fixture.makeRequest("id-1");
+    head.fields.add("Tokens", "1600, 20");
+    const auto exchange = fixture.beginRequest(fixture.makeRoute(RouteKind::Stream), head, "body");
+    for (auto &[name, record] : fixture.upstreamRecords) {
+        record.entry.isLeaving = true;
+    }
+    if (isRemoved) {
+        fixture.upstreamRecords.clear();
+    }
+    fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
+    fixture.runUntil([&] {
+        return fixture.response.isFinished();
+    });
+    for (const auto &it : fixture.upstreams) {
+        for (const std::string &request : it->requests) {
+            CHECK(request.starts_with("POST /order"));
+        }
+    }
+    CHECK(fixture.response.head.status == 503);
+}
+
 TEST_CASE("a refusal with Retry-After but without the request's id pauses its upstream on a reused connection too")
 {
     GatewayFixture fixture;
--- a/src/published/tests/publishedstatetests.cpp
+++ b/src/published/tests/publishedstatetests.cpp
@@ -251,6 +251,28 @@
     CHECK(state.upstreams().contains("v"));
 }
 
+TEST_CASE("a peer that missed the removal of an upstream does not bring it back at an instance that has read the store")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.applyAll({{"v", "ready", 2, false}}, {0, 9}, start);
+    CHECK_FALSE(state.apply({"u", "ready", 5, false}, start).hasChangedUpstreams);
+    CHECK_FALSE(state.upstreams().contains("u"));
+    // Registered after the read.
+    CHECK(state.apply({"u", "ready", 10, false}, start).hasChangedUpstreams);
+}
+
+TEST_CASE(
+    "a peer that missed the removal of an upstream does not bring it back at an instance that has a whole snapshot")
+{
+    const FakeDecoder decoder;
+    PublishedState state(decoder);
+    state.apply({"v", "ready", 9, false}, start);
+    state.setComplete({0, 9});
+    state.apply({"u", "ready", 5, false}, start);
+    CHECK_FALSE(state.upstreams().contains("u"));
+}
+
 TEST_CASE("an evacuation is in force from its item on until the item is deleted")
 {
     const FakeDecoder decoder;
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -35,6 +35,22 @@
     }
 };
 
+/** Decodes every item as an upstream that is ready. */
+class UpstreamDecoder : public EmptyDecoder
+{
+public:
+    ItemKind kindOf(const std::string & /*key*/) const override
+    {
+        return ItemKind::Upstream;
+    }
+    std::optional<catalogue::UpstreamEntry> decodeUpstream(const StoreItem &item) const override
+    {
+        catalogue::UpstreamEntry entry;
+        entry.id = UpstreamId(item.key);
+        return entry;
+    }
+};
+
 /** Answers within the call with one change per watch up to `lastRevision`; later watches stay open. */
 class FakeStore : public IStoreClient
 {
@@ -159,6 +175,46 @@
     CHECK(store.watchedRevisions.back() == 9);
 }
 
+TEST_CASE("one cut watch does not delay the removal of an upstream")
+{
+    eventloop::EventLoop loop;
+    const UpstreamDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
+    reader.start();
+    runUntilWatchWaits(loop, store);
+    state.apply({"u", "", 1, false}, loop.now());
+    std::exchange(store.pendingWatch, nullptr)(makeError(ResultCode::PlatformUnavailable, "cut"));
+    REQUIRE_FALSE(reader.isConnected());
+    runUntil(loop, [&] {
+        return reader.isConnected();
+    });
+    state.apply({"u", "", 2, true}, loop.now());
+    CHECK(state.upstreams().empty());
+}
+
+TEST_CASE("an outage in which leases may expire delays the removal of an upstream")
+{
+    eventloop::EventLoop loop;
+    const UpstreamDecoder decoder;
+    PublishedState state(decoder);
+    FakeStore store;
+    StoreReaderParameters parameters = makeParameters();
+    parameters.check.interval = Milliseconds(40);
+    StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
+    reader.start();
+    runUntilWatchWaits(loop, store);
+    state.apply({"u", "", 1, false}, loop.now());
+    std::exchange(store.pendingWatch, nullptr)(makeError(ResultCode::PlatformUnavailable, "down"));
+    REQUIRE_FALSE(reader.isConnected());
+    runUntil(loop, [&] {
+        return reader.isConnected();
+    });
+    state.apply({"u", "", 2, true}, loop.now());
+    CHECK(state.upstreams().size() == 1);
+}
+
 TEST_CASE("after a watch that waited for a change, the next call is delayed")
 {
     eventloop::EventLoop loop;
