Gateway: a request that a peer has sent in vain is charged to the retry budget when it is relayed again

Cause: a peer that is refused by the upstreams and has no retry left answers that the request has not run. The relaying instance then relayed it to another peer, which sent it once more, and nobody had charged that.

Change: a refusal of a peer tells how often the peer has sent the request (Magnolia-Relay-Sends). If it has, the next relay takes a retry. Peers of earlier builds do not tell, and are not charged, as before.

Evidence: "a request that peers have sent in vain ..." failed with 152 repeats for 150 requests where 130 are allowed, and passes.

--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -222,6 +222,7 @@
     }
     if (m_relayOrigin && status == 503) {
         head.fields.add(relayNotRunField, reason);
+        head.fields.add(relaySendsField, std::to_string(m_attempts.count()));
     }
     logOutcome(status == 503 ? "refused" : "failed", status, reason);
     m_isDone = true;
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -185,7 +185,11 @@
             return;
         }
         m_isRelaying = false;
-        place();
+        if (readNumber(m_upstreamHead.fields.value(relaySendsField)) > 0) {
+            retryOrGiveUp(reason);
+        } else {
+            place();
+        }
         return;
     }
     m_attempts.end(AttemptExecution::MayHaveRun);
--- a/src/gateway/internal/relayprotocol.h
+++ b/src/gateway/internal/relayprotocol.h
@@ -21,6 +21,8 @@
 inline constexpr std::string_view relayMaxUpstreamsField = "Magnolia-Relay-Max-Upstreams";
 /** In a refusal: why the request has not run and will not run at the peer. */
 inline constexpr std::string_view relayNotRunField = "Magnolia-Relay-Not-Run";
+/** In a refusal: how often the peer has sent the request to upstreams, which all refused it. */
+inline constexpr std::string_view relaySendsField = "Magnolia-Relay-Sends";
 /** In an answer of an upstream: the id of that upstream. */
 inline constexpr std::string_view relayUpstreamField = "Magnolia-Relay-Upstream";
 
