Published: a peer that missed the removal of an upstream does not bring it back

Cause: an instance that has read the store without an upstream has no record of its removal.

An item at or below it whose upstream is not known has been removed. Evacuations had such a rule already. Items of a full read are applied as before, since they are what that position stands for.

--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -34,6 +34,20 @@
 }
 
 PublishedState::ChangeFlags PublishedState::apply(const StoreItem &item, MonoTime now)
+{
+    if (m_decoder.kindOf(item.key) == IItemDecoder::ItemKind::Upstream && !item.isDeleted && isKnownAsAbsent(item)) {
+        return {};
+    }
+    return applyItem(item, now);
+}
+
+bool PublishedState::isKnownAsAbsent(const StoreItem &item) const
+{
+    return m_completePosition && item.era == m_completePosition->era && item.position() <= *m_completePosition
+        && !m_upstreams.contains(item.key);
+}
+
+PublishedState::ChangeFlags PublishedState::applyItem(const StoreItem &item, MonoTime now)
 {
     m_position = std::max(m_position, item.position());
     switch (m_decoder.kindOf(item.key)) {
@@ -161,7 +175,7 @@
     std::set<std::string> present;
     for (const StoreItem &item : items) {
         present.insert(item.key);
-        flags.add(apply(item, now));
+        flags.add(applyItem(item, now));
     }
     std::vector<std::string> missing;
     for (const auto &[key, record] : m_upstreams) {
@@ -174,8 +188,7 @@
     }
     flags.add(endMissingEvacuations(present, position, now));
     m_readPosition = std::max(m_readPosition.value_or(position), position);
-    m_position = std::max(m_position, position);
-    m_isComplete = true;
+    setComplete(position);
     return flags;
 }
 
@@ -357,13 +370,13 @@
 
 bool PublishedState::isComplete() const
 {
-    return m_isComplete;
+    return m_completePosition.has_value();
 }
 
 void PublishedState::setComplete(const StorePosition &position)
 {
     m_position = std::max(m_position, position);
-    m_isComplete = true;
+    m_completePosition = std::max(m_completePosition.value_or(position), position);
 }
 
 } // namespace magnolia::published
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -122,6 +122,9 @@
     void setComplete(const StorePosition &position);
 
 private:
+    ChangeFlags applyItem(const StoreItem &item, MonoTime now);
+    /** Whether the item of an upstream was removed before the latest position at which the whole state was known. */
+    [[nodiscard]] bool isKnownAsAbsent(const StoreItem &item) const;
     ChangeFlags applyConfiguration(const StoreItem &item);
     ChangeFlags applyUpstream(const StoreItem &item, MonoTime now);
     ChangeFlags removeUpstream(const std::string &key, const StorePosition &position, MonoTime now);
@@ -158,8 +161,10 @@
     // Position of the last full read of the store by this instance.
     std::optional<StorePosition> m_readPosition;
     MonoTime m_leaseGraceUntil{};
+    // Latest position at which the whole state was known. What was written up to there and is not known has been
+    // removed. It may be lower than `m_position`: changes after it are known one by one.
+    std::optional<StorePosition> m_completePosition;
     StorePosition m_position;
-    bool m_isComplete = false;
 };
 
 } // namespace magnolia::published
