Published: one cut watch does not delay the removal of an upstream

Cause: each lost connection counted as an outage of the store, after which missing entries are kept for two seconds since their leases may have expired.

Change: that grace begins only if nothing has shown for 1.7 heartbeats that this instance knew all that the store had. A lease has at least two heartbeats left when an outage begins. Confirmations of peers count: leases are renewed while the store serves them.

Evidence: "one cut watch does not delay the removal of an upstream" failed and passes; beside it "an outage in which leases may expire delays the removal of an upstream" holds before and after.

--- a/src/gateway/internal/storeparameters.cpp
+++ b/src/gateway/internal/storeparameters.cpp
@@ -19,6 +19,8 @@
 /** Upper bound of the interval in heartbeats; several checks fit into the time of a lease. */
 constexpr double maxCheckIntervalInHeartbeats = 0.6;
 constexpr double silenceLimitInHeartbeats = 2.1;
+/** A lease has at least two heartbeats left when an outage begins; the rest is for the delay of the last heartbeat. */
+constexpr double minOutageInHeartbeats = 1.7;
 
 Milliseconds scaled(Milliseconds time, double factor)
 {
@@ -35,6 +37,7 @@
         scaled(settings.upstreamHeartbeatInterval, maxCheckIntervalInHeartbeats));
     parameters.check.minSpread = scaled(applyTime, checkSpreadShare);
     parameters.check.silenceLimit = scaled(settings.upstreamHeartbeatInterval, silenceLimitInHeartbeats);
+    parameters.minOutage = scaled(settings.upstreamHeartbeatInterval, minOutageInHeartbeats);
     return parameters;
 }
 
--- a/src/published/internal/storereader.cpp
+++ b/src/published/internal/storereader.cpp
@@ -215,7 +215,7 @@
     m_lastAnswerAt = m_loop.now();
     if (!m_isConnected) {
         logging::write(logging::Level::Info, "published", "store_reached", {});
-        if (m_wasConnected) {
+        if (m_wasConnected && m_loop.now() - m_checks.confirmedAt() >= m_parameters.minOutage) {
             m_state.onStoreReconnected(m_loop.now());
         }
     }
--- a/src/published/storereader.h
+++ b/src/published/storereader.h
@@ -35,6 +35,11 @@
      */
     Milliseconds minRetryDelay{150};
     Milliseconds maxRetryDelay{800};
+    /**
+     * Shortest time without the store in which leases may expire. A connection that was cut for less, such as a watch,
+     * is no reason to keep entries that are missing afterwards.
+     */
+    Milliseconds minOutage{2000};
     StoreCheckParameters check;
     StartupReadParameters startup;
     /** Time in which an open watch returns a change that is known from elsewhere; without it the watch is replaced. */
--- a/src/published/tests/storereadertests.cpp
+++ b/src/published/tests/storereadertests.cpp
@@ -184,13 +184,14 @@
     StoreReader reader(loop, store, state, 1, makeCallbacks(), makeParameters());
     reader.start();
     runUntilWatchWaits(loop, store);
-    state.apply({"u", "", 1, false}, loop.now());
+    state.apply({"u", "", 2, false}, loop.now());
+    REQUIRE(state.upstreams().size() == 1);
     std::exchange(store.pendingWatch, nullptr)(makeError(ResultCode::PlatformUnavailable, "cut"));
     REQUIRE_FALSE(reader.isConnected());
     runUntil(loop, [&] {
         return reader.isConnected();
     });
-    state.apply({"u", "", 2, true}, loop.now());
+    state.apply({"u", "", 3, true}, loop.now());
     CHECK(state.upstreams().empty());
 }
 
@@ -202,16 +203,18 @@
     FakeStore store;
     StoreReaderParameters parameters = makeParameters();
     parameters.check.interval = Milliseconds(40);
+    parameters.minOutage = Milliseconds(30);
     StoreReader reader(loop, store, state, 1, makeCallbacks(), parameters);
     reader.start();
     runUntilWatchWaits(loop, store);
-    state.apply({"u", "", 1, false}, loop.now());
+    state.apply({"u", "", 2, false}, loop.now());
+    REQUIRE(state.upstreams().size() == 1);
     std::exchange(store.pendingWatch, nullptr)(makeError(ResultCode::PlatformUnavailable, "down"));
     REQUIRE_FALSE(reader.isConnected());
     runUntil(loop, [&] {
         return reader.isConnected();
     });
-    state.apply({"u", "", 2, true}, loop.now());
+    state.apply({"u", "", 3, true}, loop.now());
     CHECK(state.upstreams().size() == 1);
 }
 
