Gateway, streaming: bytes in a stream that are no event do not reach the caller

Where the next upstream answers with an error status, nothing of it reached the caller here; that test passed. But an error that an upstream writes as the body of a success, or into a stream that it has broken off without framing, was passed on where it held a blank line, or ended the stream as complete.

Cause: everything between two blank lines counted as an event.

Change: streaming::eventForm. A piece of an answer has one numeric id and data, and all its lines are fields; comments, reconnection times and blank lines are no part of it. Anything else ends the attempt as malformed, and the stream goes on elsewhere after its last event.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -113,7 +113,9 @@
     void onFullResponse();
     /** Returns the head of the upstream's response for the caller or the relaying peer. */
     [[nodiscard]] httpwire::ResponseHead responseHead() const;
+    /** Passes on the events that have arrived whole; other bytes among them end the attempt. */
     void forwardEvents();
+    void passOn(const std::string &events);
     /** Stops reading a plain answer while there is hardly any memory left; a timer resumes it. */
     void pauseAnswer();
     void finishStream();
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -11,6 +11,7 @@
 #include "gateway/internal/upstreamcall.h"
 #include "gateway/internal/upstreamsignals.h"
 #include "gateway/iresponsewriter.h"
+#include "streaming/eventform.h"
 
 namespace magnolia::gateway
 {
@@ -163,25 +164,39 @@
 void Exchange::forwardEvents()
 {
     std::string forwarded;
+    bool isMalformed = false;
     while (const auto event = m_eventSplitter.next()) {
+        const streaming::EventForm form = streaming::eventForm(event->raw);
+        if (form == streaming::EventForm::Malformed) {
+            isMalformed = true;
+            break;
+        }
         const bool isRepeated = event->id && m_lastEventId && *event->id <= *m_lastEventId;
-        // Comments and blank lines keep a connection open and are no part of the answer.
-        const bool isEmpty = !event->id && event->data.empty();
-        if (isRepeated || isEmpty) {
+        if (isRepeated || form == streaming::EventForm::Empty) {
             continue;
         }
-        if (event->id) {
-            m_lastEventId = event->id;
-        }
+        m_lastEventId = event->id;
         forwarded.append(event->raw);
         ++m_forwardedEvents;
     }
+    passOn(forwarded);
+    if (m_isDone) {
+        return;
+    }
+    if (isMalformed) {
+        m_upstreamCall->cancel();
+        onCallFailed(CallFailure::Malformed, "bytes in the stream that are no event");
+        return;
+    }
     if (m_eventSplitter.isOverflowed() || (forwarded.empty() && m_bytesSinceEvent > maxBytesBetweenEvents)) {
         m_upstreamCall->cancel();
         onCallFailed(CallFailure::Malformed, "no further event among the bytes");
-        return;
     }
-    if (forwarded.empty()) {
+}
+
+void Exchange::passOn(const std::string &events)
+{
+    if (events.empty()) {
         return;
     }
     m_bytesSinceEvent = 0;
@@ -210,7 +225,7 @@
         m_firstEventAt = m_context.loop.now();
         m_responseWriter.beginResponse(responseHead());
     }
-    m_responseWriter.sendChunk(forwarded);
+    m_responseWriter.sendChunk(events);
     if (m_upstreamCall && m_responseWriter.pendingBytes() > m_context.memory.streamLimit()) {
         m_upstreamCall->setReading(false);
     }
