--- a/src/gateway/tests/retrybudgettests.cpp
+++ b/src/gateway/tests/retrybudgettests.cpp
@@ -1,4 +1,4 @@
-// Checks how many requests an instance sends again.
+// Tests of the retries that an instance makes beside refusing upstreams.
 #include "gatewayfixture.h"
 #include "gatewayfleet.h"
 
--- a/src/limits/tests/fleetretrybudgetstests.cpp
+++ b/src/limits/tests/fleetretrybudgetstests.cpp
@@ -17,11 +17,11 @@
 
 const std::string service = "service";
 
-/** Requests, repeats and restarts of a fleet whose upstreams refuse each attempt. */
+/** Times of the requests and retries of a fleet whose upstreams refuse each attempt. */
 struct FleetRun
 {
     std::vector<MonoTime> requests;
-    std::vector<MonoTime> repeats;
+    std::vector<MonoTime> retries;
 };
 
 struct Instance
@@ -61,7 +61,7 @@
             onNewRequest(budget);
             run.requests.push_back(now);
             while (takeRetry(budget)) {
-                run.repeats.push_back(now);
+                run.retries.push_back(now);
             }
         }
     }
@@ -76,7 +76,7 @@
 
 } // namespace
 
-TEST_CASE("a fleet whose instances restart beside refusing upstreams makes no more repeats than its budget allows")
+TEST_CASE("a fleet whose instances restart beside refusing upstreams makes no more retries than its budget allows")
 {
     testing::forEachSeed(50, [](std::uint64_t seed) {
         for (const std::size_t instanceCount : {3, 9, 60}) {
@@ -86,8 +86,8 @@
             for (MonoTime from = MonoTime{}; from < MonoTime{Seconds(60)}; from += Milliseconds(250)) {
                 const MonoTime to = from + limits.window;
                 const auto requests = static_cast<double>(countWithin(run.requests, from, to));
-                const auto repeats = static_cast<double>(countWithin(run.repeats, from, to));
-                REQUIRE(repeats <= limits.ratio * requests + limits.slack);
+                const auto retries = static_cast<double>(countWithin(run.retries, from, to));
+                REQUIRE(retries <= limits.ratio * requests + limits.slack);
             }
         }
     });
