Gateway, log: how an answer without a length has ended

unframed_answer_ended has the end that the reader gets, the error of a failed send and the bytes of the request that were not sent.

--- a/src/framework/eventloop/internal/tcpstream.cpp
+++ b/src/framework/eventloop/internal/tcpstream.cpp
@@ -189,6 +189,11 @@
     return m_output.size() - m_sentBytes;
 }
 
+int TcpStream::error() const
+{
+    return m_error;
+}
+
 std::uint64_t TcpStream::sentTotal() const
 {
     return m_sentTotal;
@@ -301,6 +306,7 @@
             if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) {
                 break;
             }
+            m_error = errno;
             // The read path reports the end, so that bytes that arrived before are not lost.
             m_output.clear();
             m_sentBytes = 0;
--- a/src/framework/eventloop/tcpstream.h
+++ b/src/framework/eventloop/tcpstream.h
@@ -63,6 +63,8 @@
     /** Returns the received bytes that the listener has not consumed. */
     [[nodiscard]] std::string &input();
     [[nodiscard]] std::size_t pendingOutput() const;
+    /** Returns the error of the first send or peek that failed (`errno`); 0 if none has. */
+    [[nodiscard]] int error() const;
     /** Returns the number of bytes that the operating system has accepted in all. */
     [[nodiscard]] std::uint64_t sentTotal() const;
     [[nodiscard]] bool isConnected() const;
@@ -95,6 +97,7 @@
     std::uint64_t m_sentTotal = 0;
     std::size_t m_maxInput = defaultMaxInput;
     int m_fd = -1;
+    int m_error = 0;
     bool m_isConnected = false;
     bool m_isRefused = false;
     bool m_isReading = true;
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -271,10 +271,15 @@
         fail(CallFailure::NotConnected, "connection refused");
         return;
     }
-    if (m_isInBody && !m_isSkippingResponse && m_body.framing() == httpwire::BodyFraming::UntilClose
-        && end == eventloop::StreamEnd::Closed) {
-        complete(false);
-        return;
+    if (m_isInBody && !m_isSkippingResponse && m_body.framing() == httpwire::BodyFraming::UntilClose) {
+        logging::write(logging::Level::Info, "gateway", "unframed_answer_ended",
+            {{"request", std::string_view(m_request.requestId)}, {"upstream", std::string_view(m_request.address)},
+                {"closed", end == eventloop::StreamEnd::Closed}, {"error", std::int64_t{m_stream->error()}},
+                {"unsent_bytes", std::uint64_t{m_stream->pendingOutput()}}});
+        if (end == eventloop::StreamEnd::Closed) {
+            complete(false);
+            return;
+        }
     }
     if (!m_hasInput && m_isReused) {
         fail(CallFailure::Stale, "kept connection had ended");
