Event loop, gateway: a reset that the output notices first is no orderly end

Cause: the system tells an error of a socket once. With output waiting, the send takes it, and the receive that follows sees an end without an error, which completes an answer without a length.

TcpStream keeps the error and tells any later end as broken. An answer without a length is complete only if its upstream has taken the whole request as well.

--- a/src/framework/eventloop/internal/tcpstream.cpp
+++ b/src/framework/eventloop/internal/tcpstream.cpp
@@ -230,7 +230,14 @@
     }
     char byte = 0;
     const auto n = ::recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    if (n >= 0) {
+        return true;
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+        return false;
+    }
+    m_error = errno;
+    return true;
 }
 
 void TcpStream::onReady(bool isReadable, bool isWritable, bool isBroken)
@@ -286,7 +293,8 @@
             break;
         }
         hasEnded = true;
-        streamEnd = n == 0 ? StreamEnd::Closed : StreamEnd::Broken;
+        // The system reports an error once only, perhaps to a send.
+        streamEnd = n == 0 && m_error == 0 ? StreamEnd::Closed : StreamEnd::Broken;
         break;
     }
     if (hasNewInput && m_listener != nullptr) {
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -15,6 +15,9 @@
 
 using Connection = ScriptedUpstream::Connection;
 
+/** More than the buffers of a connection hold. */
+constexpr std::size_t largeBodySize = 32 * 1024 * 1024;
+
 void respondOk(Connection &connection, const std::string &request, int /*number*/)
 {
     connection.send(plainResponse(request, 200, "ok"));
@@ -416,6 +419,57 @@
     CHECK(fixture.response.body == (isReset ? "" : "ok"));
 }
 
+TEST_CASE(
+    "an answer without a length whose upstream ends before it has taken the request is not handed out as the whole")
+{
+    // A crashed process leaves unread bytes, for which its system resets the connection.
+    const bool isCrash = GENERATE(true, false);
+    const RouteKind kind = GENERATE(RouteKind::AtMostOnce, RouteKind::Idempotent, RouteKind::Stream);
+    GatewayFixture fixture;
+    int count = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        if (count++ > 0) {
+            if (kind == RouteKind::Stream) {
+                respondWithEvents(connection, request, 2, 3);
+            } else {
+                respondOk(connection, request, 0);
+            }
+            return;
+        }
+        connection.send("HTTP/1.1 200 OK\r\nRequest-Id: " + headerField(request, "Request-Id")
+            + "\r\nResponse-Signature: s\r\n\r\n" + (kind == RouteKind::Stream ? eventsText(1, 1) : "part"));
+        fixture.loop.after(Milliseconds(20), [stream = connection.stream, isCrash] {
+            if (isCrash) {
+                stream->close();
+            } else {
+                stream->shutdownOutput();
+            }
+        });
+    };
+    fixture.addUpstream("service", script).setRespondingEarly();
+    fixture.addUpstream("service", script).setRespondingEarly();
+    fixture.runRequest(fixture.makeRoute(kind), "id-1", std::string(largeBodySize, 'b'));
+    const bool isRepeatable = kind != RouteKind::AtMostOnce;
+    CHECK(fixture.response.head.status == (isRepeatable ? 200 : 502));
+    CHECK(fixture.response.body == (kind == RouteKind::Stream ? eventsText(1, 3) : isRepeatable ? "ok" : ""));
+    CHECK(totalRequestCount(fixture) == (isRepeatable ? 2 : 1));
+}
+
+TEST_CASE("a whole answer with a length reaches the caller though its upstream ends before it has taken the request")
+{
+    GatewayFixture fixture;
+    fixture
+        .addUpstream("service",
+            [&](Connection &connection, const std::string &request, int /*number*/) {
+                connection.send(plainResponse(request, 200, "ok"));
+                connection.stream->close();
+            })
+        .setRespondingEarly();
+    fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "id-1", std::string(largeBodySize, 'b'));
+    CHECK(fixture.response.head.status == 200);
+    CHECK(fixture.response.body == "ok");
+}
+
 TEST_CASE("an earlier refusal that an upstream repeats on a kept connection is no answer to the next request")
 {
     const std::string repeatedId = GENERATE("id-1", "");
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -79,6 +79,13 @@
     if (httpwire::readRequestHead(copy, input.size(), head) != httpwire::ReadState::Complete) {
         return;
     }
+    if (m_upstream.m_isRespondingEarly) {
+        stream->setReading(false);
+        const std::string requestHead = input.substr(0, headEnd + 4);
+        m_upstream.requests.push_back(requestHead);
+        m_upstream.m_script(*this, requestHead, static_cast<int>(m_upstream.requests.size()) - 1);
+        return;
+    }
     const std::uint64_t length = httpwire::requestBodyDecoder(head)->contentLength();
     if (copy.size() < length) {
         return;
@@ -146,6 +153,11 @@
     m_open.clear();
 }
 
+void ScriptedUpstream::setRespondingEarly()
+{
+    m_isRespondingEarly = true;
+}
+
 std::string ScriptedUpstream::address() const
 {
     return m_address;
--- a/src/gateway/tests/scriptedupstream.h
+++ b/src/gateway/tests/scriptedupstream.h
@@ -64,6 +64,8 @@
      */
     void setClosing(bool isClosing, Milliseconds delay = Milliseconds(3));
     void resetConnections();
+    /** Runs the script as soon as the head of a request has arrived, and leaves the body unread. */
+    void setRespondingEarly();
     [[nodiscard]] std::string address() const;
 
     void onReady(bool isReadable, bool isWritable, bool isBroken) override;
@@ -81,6 +83,7 @@
     std::string m_address;
     bool m_isHanging = false;
     bool m_isClosing = false;
+    bool m_isRespondingEarly = false;
     Milliseconds m_closingDelay{0};
     std::vector<std::shared_ptr<Connection>> m_open;
 };
