--- a/src/catalogue/types/catalogue.h
+++ b/src/catalogue/types/catalogue.h
@@ -38,8 +38,8 @@
 {
     std::uint64_t version = 0;
     CallerLimits limits;
-    /** Whether the configuration defines organisations, so that requests need API keys. */
-    bool hasOrganisations = false;
+    /** Whether requests need an API key unless their route is public; true also if no organisation holds one. */
+    bool requiresApiKeys = false;
     std::unordered_map<std::string, OrganisationEntry> organisationByApiKey;
     std::map<std::string, Service> services;
     // Invariant: the routes of a host are sorted by descending prefix length, so the first match is the longest.
--- a/src/gateway/internal/callerhandler.cpp
+++ b/src/gateway/internal/callerhandler.cpp
@@ -105,7 +105,7 @@
         return nullptr;
     }
     std::optional<catalogue::OrganisationEntry> organisation;
-    if (catalogue.hasOrganisations) {
+    if (catalogue.requiresApiKeys) {
         const WireNames &names = m_context.settings.names;
         const std::string_view key = catalogue::extractApiKey(head.fields.value(names.authorization), names.keyScheme);
         if (const catalogue::OrganisationEntry *found = catalogue::findOrganisation(catalogue, key)) {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -403,7 +403,9 @@
     if (changes.hasNewConfiguration) {
         context.catalogue = publishedState.configuration();
         logging::write(logging::Level::Info, "gateway", "configuration_in_force",
-            {{"version", context.catalogue->version}, {"store_reached", storeReader.isConnected()}});
+            {{"version", context.catalogue->version}, {"store_reached", storeReader.isConnected()},
+                {"requires_keys", context.catalogue->requiresApiKeys},
+                {"keys", std::uint64_t{context.catalogue->organisationByApiKey.size()}}});
     }
     if (changes.hasChangedUpstreams) {
         const UpstreamIndex::Difference difference
