Entry, configuration: an empty list of key hashes accepts no key

Organisation::keyHashes is optional now: without it no key is required, an empty one accepts none.

Evidence: the new test of requestreadertests.cpp failed with the check as it was.

--- a/src/blackboard/types/organisation.h
+++ b/src/blackboard/types/organisation.h
@@ -3,6 +3,7 @@
 
 #include "framework/global/types/ids.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,8 +13,9 @@
 struct Organisation
 {
     OrganisationId id;
-    /** SHA-256 of each accepted bearer key in lower-case hex; if empty, no key is required. */
-    std::vector<std::string> keyHashes;
+    /** SHA-256 of each accepted bearer key in lower-case hex. Without a list no key is required; an empty one accepts
+     * none. */
+    std::optional<std::vector<std::string>> keyHashes;
 };
 
 } // namespace magnolia
--- a/src/configuration/internal/parseconfiguration.cpp
+++ b/src/configuration/internal/parseconfiguration.cpp
@@ -94,13 +94,16 @@
     ObjectReader reader(value, path, problems);
     Organisation organisation;
     organisation.id = OrganisationId(readName(reader));
-    organisation.keyHashes = reader.findStrings("key_hashes");
-    // The message omits the text, since it may be an API key that was published by mistake.
-    if (!std::all_of(organisation.keyHashes.begin(), organisation.keyHashes.end(), isKeyHash)) {
-        reader.addProblem("key_hashes", "each must be a SHA-256 hash of 64 lower-case hex digits");
-    }
-    if (organisation.keyHashes.size() > maxKeyHashes) {
-        reader.addProblem("key_hashes", "must have at most 16 entries");
+    if (reader.find("key_hashes") != nullptr) {
+        const std::vector<std::string> hashes = reader.findStrings("key_hashes");
+        // The message omits the text, since it may be an API key that was published by mistake.
+        if (!std::all_of(hashes.begin(), hashes.end(), isKeyHash)) {
+            reader.addProblem("key_hashes", "each must be a SHA-256 hash of 64 lower-case hex digits");
+        }
+        if (hashes.size() > maxKeyHashes) {
+            reader.addProblem("key_hashes", "must have at most 16 entries");
+        }
+        organisation.keyHashes = hashes;
     }
     reader.reportUnknownKeys();
     return organisation;
--- a/src/configuration/tests/parseconfigurationtests.cpp
+++ b/src/configuration/tests/parseconfigurationtests.cpp
@@ -41,10 +41,22 @@
     CHECK(booking.kind == RequestKind::Service);
     CHECK(booking.finishTarget == Milliseconds(5000));
     CHECK_FALSE(booking.isIdempotent);
-    CHECK(result->organisations.at(OrganisationId("tambor-verde")).keyHashes.size() == 1);
+    CHECK(result->organisations.at(OrganisationId("tambor-verde")).keyHashes->size() == 1);
     CHECK(result->models.contains(ModelId("m-large")));
 }
 
+TEST_CASE("an empty list of key hashes is told from an absent one")
+{
+    ConfigurationSnapshot snapshot = validSnapshot();
+    snapshot.values["organisations"] = R"([{"name":"open"},{"name":"closed","key_hashes":[]}])";
+    const auto result = parseConfiguration(snapshot);
+    REQUIRE(result);
+    CHECK_FALSE(result->organisations.at(OrganisationId("open")).keyHashes.has_value());
+    const auto &closed = result->organisations.at(OrganisationId("closed")).keyHashes;
+    REQUIRE(closed.has_value());
+    CHECK(closed->empty());
+}
+
 TEST_CASE("organisations may be published in numbered parts without gaps")
 {
     ConfigurationSnapshot snapshot = validSnapshot();
--- a/src/entry/internal/arrival/bearerkeys.cpp
+++ b/src/entry/internal/arrival/bearerkeys.cpp
@@ -36,7 +36,7 @@
 
 Result<void> checkBearerKey(const Organisation &organisation, const std::string &authorization)
 {
-    if (organisation.keyHashes.empty()) {
+    if (!organisation.keyHashes) {
         return {};
     }
     if (!authorization.starts_with(bearerScheme)) {
@@ -45,7 +45,7 @@
     const std::string hash = sha256Hex(authorization.substr(bearerScheme.size()));
     bool isKnown = false;
     // Compares every hash, so that the response time does not reveal which one matched.
-    for (const std::string &known : organisation.keyHashes) {
+    for (const std::string &known : *organisation.keyHashes) {
         isKnown = isEqualConstantTime(known, hash) || isKnown;
     }
     if (!isKnown) {
--- a/src/entry/tests/requestreadertests.cpp
+++ b/src/entry/tests/requestreadertests.cpp
@@ -21,8 +21,10 @@
         = {ClassId("counter"), RequestKind::Model, Milliseconds(500), Milliseconds(5000), true};
     made.classes[ClassId("booking")]
         = {ClassId("booking"), RequestKind::Service, Milliseconds(500), Milliseconds(5000), false};
-    made.organisations[OrganisationId("open")] = {OrganisationId("open"), {}};
-    made.organisations[OrganisationId("closed")] = {OrganisationId("closed"), {sha256Hex("right")}};
+    made.organisations[OrganisationId("open")] = {OrganisationId("open"), std::nullopt};
+    made.organisations[OrganisationId("closed")]
+        = {OrganisationId("closed"), std::vector<std::string>{sha256Hex("right")}};
+    made.organisations[OrganisationId("revoked")] = {OrganisationId("revoked"), std::vector<std::string>{}};
     made.models.insert(ModelId("m"));
     return made;
 }
@@ -69,6 +71,19 @@
     CHECK(read(request).has_value());
 }
 
+TEST_CASE("an organisation whose list of key hashes is empty is accepted with no bearer key")
+{
+    auto request = head("/v1/completions", "counter", "revoked");
+    CHECK(read(request).error().code == ResultCode::RequestUnauthorised);
+    for (const char *key : {"Bearer right", "Bearer ", "Bearer", ""}) {
+        INFO(key);
+        request.set("Authorization", key);
+        const auto result = read(request);
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error().code == ResultCode::RequestUnauthorised);
+    }
+}
+
 TEST_CASE("the path of a service request is split into the service name and the upstream path")
 {
     const auto request = read(head("/v1/services/bookings/pickups?day=2", "booking", "open"));
--- a/tests/sessions/fleet.cpp
+++ b/tests/sessions/fleet.cpp
@@ -25,8 +25,7 @@
         {"name":"lookup","kind":"service","first_token_ms":2000,"finish_ms":5000,"idempotent":true},
         {"name":"booking","kind":"service","first_token_ms":5000,"finish_ms":10000,"idempotent":false}])";
     return {{"values",
-        {{"classes", classes}, {"organisations", R"([{"name":"tambor-verde","key_hashes":[]}])"},
-            {"models", R"(["m-large"])"}}}};
+        {{"classes", classes}, {"organisations", R"([{"name":"tambor-verde"}])"}, {"models", R"(["m-large"])"}}}};
 }
 
 nlohmann::json instanceRow(
