Gateway: requests that are open at the end of a planned stop get a final answer

Cause: the event loop ended 350 ms before the end of the grace period with requests open, and nothing answered them.

Every open request is answered before that: 503 if it has certainly not run, 502 if it may have; a stream that has begun is broken off, as before.

--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -64,6 +64,18 @@
     }
 }
 
+void CallerConnection::answerAtEnd()
+{
+    // The request or the connection may end during the call.
+    const auto self = shared_from_this();
+    if (const auto activeRequest = m_activeRequest) {
+        activeRequest->onProcessEnding();
+    } else if (m_state == State::WaitingForMemory || m_state == State::ReadingBody) {
+        m_stream->setReading(true);
+        refuse(503);
+    }
+}
+
 void CallerConnection::notifyPartitioned()
 {
     // The request may end during the call.
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -30,6 +30,8 @@
     void start(const Poco::Net::StreamSocket &socket);
     /** Closes the connection if it has no request. */
     void closeIfIdle();
+    /** Answers the request that is being processed or read, since the process is about to end. */
+    void answerAtEnd();
     /** Tells the request that is being processed that this instance can reach no upstream. */
     void notifyPartitioned();
     [[nodiscard]] bool isBusy() const;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -46,6 +46,7 @@
     void cancel() override;
     void onDrained() override;
     void onPartitioned() override;
+    void onProcessEnding() override;
     [[nodiscard]] Milliseconds waitLimit() const override;
 
     void onCallConnected() override;
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -245,6 +245,24 @@
     logOutcome("cancelled", 0, "caller_gone");
 }
 
+void Exchange::onProcessEnding()
+{
+    const auto self = shared_from_this();
+    if (m_isDone) {
+        return;
+    }
+    const bool isSent = m_upstreamCall && m_upstreamCall->isSent();
+    if (m_upstreamCall) {
+        m_upstreamCall->cancel();
+        m_upstreamCall.reset();
+    }
+    // Invalidates the callback of a memory reservation that is being acquired.
+    ++m_attemptNumber;
+    m_attempts.end(isSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
+    endAttempt(std::nullopt);
+    giveUp("stopping", Milliseconds{0});
+}
+
 void Exchange::checkSilence()
 {
     m_silenceTimer = m_context.loop.after(silenceCheckInterval, [weak = weak_from_this()] {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -568,6 +568,11 @@
             {{"open_requests", std::uint64_t{busyCount}},
                 {"after_ms", std::int64_t{toMilliseconds(now - stopStartedAt).count()}}});
         stopAccepting();
+        for (const auto &it : {callerListener, relayListener}) {
+            if (it) {
+                it->answerAll();
+            }
+        }
         loop.after(finalFlushTime / 2, [this] {
             loop.stop();
         });
--- a/src/gateway/internal/heldrequest.cpp
+++ b/src/gateway/internal/heldrequest.cpp
@@ -93,6 +93,13 @@
     }
 }
 
+void HeldRequest::onProcessEnding()
+{
+    if (const auto next = m_next) {
+        next->onProcessEnding();
+    }
+}
+
 void HeldRequest::onPartitioned()
 {
     // The request may end during the call.
--- a/src/gateway/internal/heldrequest.h
+++ b/src/gateway/internal/heldrequest.h
@@ -34,6 +34,7 @@
 
     void cancel() override;
     void onPartitioned() override;
+    void onProcessEnding() override;
     void onDrained() override;
     [[nodiscard]] Milliseconds waitLimit() const override;
 
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -110,6 +110,14 @@
     }
 }
 
+void Listener::answerAll()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> open(m_connections.begin(), m_connections.end());
+    for (const auto &it : open) {
+        it->answerAtEnd();
+    }
+}
+
 void Listener::notifyPartitioned()
 {
     const std::vector<std::shared_ptr<CallerConnection>> open(m_connections.begin(), m_connections.end());
--- a/src/gateway/irequesthandler.h
+++ b/src/gateway/irequesthandler.h
@@ -26,6 +26,10 @@
     virtual void onPartitioned()
     {
     }
+    /** Called shortly before the process ends: the request gets its final answer now. */
+    virtual void onProcessEnding()
+    {
+    }
     /** Called when queued response bytes have been sent to the caller. */
     virtual void onDrained()
     {
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -43,6 +43,8 @@
     void closeIdleConnections();
     /** Calls onPartitioned() of all requests that are being processed. */
     void notifyPartitioned();
+    /** Answers all requests that are being processed or read, since the process is about to end. */
+    void answerAll();
     [[nodiscard]] std::size_t connectionCount() const;
     /** Number of callers that were disconnected because memory was short and they read nothing. */
     [[nodiscard]] std::uint64_t disconnectedCount() const;
--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -133,7 +133,6 @@
     route.prefix = '/' + name + '/';
     route.kind = kind;
     route.destinations = {{service, 1}};
-    route.timeout = Milliseconds(4000);
     route.latencyTarget = Milliseconds(300);
     route.gapTarget = Milliseconds(250);
     route.maxAttempts = 2;
@@ -232,6 +231,7 @@
             if (it.name != "safe") {
                 it.homes = homes;
             }
+            it.timeout = routeTimeout;
         }
         return result;
     }
@@ -250,6 +250,7 @@
 
     GatewaySettings settings;
     double coldRequestsPerSecond = 0;
+    Milliseconds routeTimeout{4000};
     std::vector<std::string> services;
     std::vector<std::string> upstreamDataCentres;
     std::vector<RegionId> homes;
@@ -319,6 +320,13 @@
     }
 }
 
+void GatewayFleet::setRouteTimeout(Milliseconds timeout)
+{
+    for (const auto &it : m_instances) {
+        it->routeTimeout = timeout;
+    }
+}
+
 void GatewayFleet::setHomes(const std::vector<std::string> &regions)
 {
     for (const auto &it : m_instances) {
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -73,6 +73,8 @@
      * cold time of 3 s. Answers state the remaining time in the field "Cold". Call it before start().
      */
     void setColdBudget(double requestsPerSecond);
+    /** Sets the timeout of all routes, which is 4 s otherwise; call it before start(). */
+    void setRouteTimeout(Milliseconds timeout);
     /** Starts all gateways and waits until they are ready and know each other. */
     void start();
     void cut(std::size_t gateway, Cut cut);
