--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -89,6 +89,8 @@
     [[nodiscard]] bool isDecisionAllowed() const;
     [[nodiscard]] std::string requestBytes(const placement::Decision &decision) const;
     void endAttempt(std::optional<outliers::AttemptOutcome> attemptOutcome);
+    /** Ends the current attempt, wherever it is, without an outcome for its upstream. */
+    void withdrawAttempt();
     /** Prepares the state of an attempt that begins now. */
     void resetAttempt();
     /** Number of upstreams that may run this request. */
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -251,6 +251,12 @@
     if (m_isDone) {
         return;
     }
+    withdrawAttempt();
+    giveUp("stopping", Milliseconds{0});
+}
+
+void Exchange::withdrawAttempt()
+{
     const bool isSent = m_upstreamCall && m_upstreamCall->isSent();
     if (m_upstreamCall) {
         m_upstreamCall->cancel();
@@ -260,7 +266,6 @@
     ++m_attemptNumber;
     m_attempts.end(isSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
     endAttempt(std::nullopt);
-    giveUp("stopping", Milliseconds{0});
 }
 
 void Exchange::checkSilence()
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -125,14 +125,7 @@
     if (m_isDone || m_isRelaying || isSent) {
         return;
     }
-    if (m_upstreamCall) {
-        m_upstreamCall->cancel();
-        m_upstreamCall.reset();
-    }
-    // Invalidates the callback of a memory reservation that is being acquired.
-    ++m_attemptNumber;
-    m_attempts.end(AttemptExecution::NotRun);
-    endAttempt(std::nullopt);
+    withdrawAttempt();
     place();
 }
 
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -276,7 +276,7 @@
             {{"request", std::string_view(m_request.requestId)}, {"upstream", std::string_view(m_request.address)},
                 {"closed", end == eventloop::StreamEnd::Closed}, {"error", std::int64_t{m_stream->error()}},
                 {"unsent_bytes", std::uint64_t{m_stream->pendingOutput()}}});
-        // An upstream that means to answer takes the whole request before it closes.
+        // A sound upstream takes the whole request before it closes.
         if (end == eventloop::StreamEnd::Closed && m_stream->pendingOutput() == 0) {
             complete(false);
             return;
