--- a/src/gateway/tests/stoptests.cpp
+++ b/src/gateway/tests/stoptests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <set>
 
 using namespace magnolia;
@@ -18,6 +20,9 @@
 /** The grace period of a stop, which is the default of the settings, and some time to end. */
 constexpr Milliseconds stopTime{8500};
 
+/** Times after the beginning of the stop at which requests are sent. */
+constexpr std::array<int, 9> sentAtMs{0, 1000, 2000, 2600, 3000, 4000, 5000, 6000, 7000};
+
 struct SentRequest
 {
     std::string id;
@@ -51,11 +56,11 @@
     fleet.start();
     fleet.beginStop(0);
     std::vector<SentRequest> sent;
-    for (const int sentAtMs : {0, 1000, 2000, 2600, 3000, 4000, 5000, 6000, 7000}) {
-        fleet.loop.after(Milliseconds(sentAtMs), [&, sentAtMs] {
+    for (const int ms : sentAtMs) {
+        fleet.loop.after(Milliseconds(ms), [&, ms] {
             for (const char *path : {"/once/x", "/safe/x", "/stream/x", "/stream/begun"}) {
                 for (const char *deadlineMs : {"600", "3000", "15000"}) {
-                    const std::string id = std::to_string(sentAtMs) + path + '-' + deadlineMs;
+                    const std::string id = std::to_string(ms) + path + '-' + deadlineMs;
                     sent.push_back({id, path, fleet.send(0, id, path, {}, deadlineMs)});
                 }
             }
@@ -80,3 +85,58 @@
     }
     CHECK(answered > 0);
 }
+
+TEST_CASE(
+    "during a planned stop no request on a kept connection, or with a slow body, is passed on and left unanswered")
+{
+    GatewayFleet fleet({"a", "a"});
+    std::set<std::string> received;
+    const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
+        const std::string id = headerField(request, "Request-Id");
+        received.insert(id);
+        if (id.starts_with("early")) {
+            connection.send(plainResponse(request, 200, "ok"));
+        }
+    };
+    for (int i = 0; i < 4; ++i) {
+        fleet.addUpstream("engine", script);
+        fleet.addUpstream("app", script);
+    }
+    fleet.setRouteTimeout(Milliseconds(20'000));
+    fleet.start();
+    std::vector<std::shared_ptr<FleetCaller>> kept;
+    for (const int ms : sentAtMs) {
+        kept.push_back(fleet.run(0, "early" + std::to_string(ms), "/safe/x"));
+        REQUIRE(kept.back()->status() == 200);
+        kept.back()->received.clear();
+    }
+    // The heads of these requests have arrived before the stop, and their bodies arrive one at each time.
+    std::vector<std::shared_ptr<FleetCaller>> slow;
+    for (const int ms : sentAtMs) {
+        slow.push_back(fleet.run(0, "early-slow" + std::to_string(ms), "/safe/x"));
+        slow.back()->received.clear();
+        slow.back()->stream->write("POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: slow" + std::to_string(ms)
+            + "\r\nDeadline: 15000\r\nContent-Length: 4\r\n\r\nbo");
+    }
+    fleet.beginStop(0);
+    for (std::size_t i = 0; i < sentAtMs.size(); ++i) {
+        fleet.loop.after(Milliseconds(sentAtMs[i]), [&, i] {
+            kept[i]->stream->write("POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: kept" + std::to_string(sentAtMs[i])
+                + "\r\nDeadline: 15000\r\nContent-Length: 4\r\n\r\nbody");
+            slow[i]->stream->write("dy");
+        });
+    }
+    fleet.runFor(stopTime);
+    for (std::size_t i = 0; i < sentAtMs.size(); ++i) {
+        INFO("sent at " << sentAtMs[i] << " ms: " << kept[i]->received << slow[i]->received);
+        const bool isKeptPassedOn = received.contains("kept" + std::to_string(sentAtMs[i]));
+        const bool isSlowPassedOn = received.contains("slow" + std::to_string(sentAtMs[i]));
+        CHECK((!isKeptPassedOn || kept[i]->status() == 502));
+        CHECK((!isSlowPassedOn || slow[i]->status() == 502));
+        // What was not passed on was refused as not run, or its connection had been closed.
+        CHECK((isKeptPassedOn || kept[i]->received.empty() || kept[i]->status() == 503));
+        CHECK((isSlowPassedOn || slow[i]->status() == 503 || slow[i]->status() == 408));
+    }
+    CHECK(received.contains("kept0"));
+    CHECK(received.contains("slow0"));
+}
