Gateway: a caller with a short deadline is not taken for one that comes back

Callers saw: of two calm requests that differ only in their deadline, 10 s and 7 s, the second was given engine priority 9, behind all others, and was left out of the speed measurements.

Cause: a deadline below 0.81 of the longest that the route had seen was taken for a repeat. A deadline tells how much time the caller has, not whether it has asked before, and repeats are treated like any other request.

Evidence: the new test failed before with priorities 9, 9 and 5 for deadlines of 7, 1.5 and 10 s.

The guess and the table of longest deadlines are removed, so that nothing distinguishes first tries from repeats any more.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -45,9 +45,6 @@
 
 /** Retry-After of a refused request whose quarantine has ended but which this instance may not send. */
 constexpr Milliseconds minQuarantineRetryAfter{1000};
-/** A deadline below this share of the longest one on the route marks a retry by the caller: first attempts wait at most
- * 15 % less than their class allows. */
-constexpr double callerRetryWaitShare = 0.81;
 /** Engine priority of requests that are already late. */
 constexpr int latePriority = 9;
 
@@ -104,7 +101,7 @@
 
 bool Exchange::isLate() const
 {
-    return m_isCallerRetry || m_hasResponseBegun || elapsed() > m_route.latencyTarget / 2;
+    return m_hasResponseBegun || elapsed() > m_route.latencyTarget / 2;
 }
 
 Milliseconds Exchange::callerWaitLimit() const
@@ -134,11 +131,6 @@
     const Milliseconds callerWaitTime
         = deadline > 0 ? Milliseconds(static_cast<std::int64_t>(deadline)) : m_route.timeout;
     m_deadline = m_receivedAt + std::min(callerWaitTime, m_route.timeout);
-    Milliseconds &maxCallerWaitTime
-        = m_context.maxCallerWaitTimes.try_emplace(m_route.name, callerWaitTime).first->second;
-    maxCallerWaitTime = std::max(maxCallerWaitTime, callerWaitTime);
-    m_isCallerRetry = static_cast<double>(callerWaitTime.count())
-        < callerRetryWaitShare * static_cast<double>(maxCallerWaitTime.count());
     m_lastEventId = streaming::EventId::parse(m_head.fields.value(names.lastEventId));
     readEstimates();
     m_fingerprint = requestFingerprint(m_head, m_body, m_organisation);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -135,8 +135,7 @@
     void respondWithError(int status, std::string_view reason, std::optional<Milliseconds> retryAfter);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
     [[nodiscard]] bool isStream() const;
-    /** Whether the response is treated as late: for a retry by the caller, after the response has begun, or once half
-     * of the latency target has passed. */
+    /** Whether the response is treated as late: after it has begun, or once half of the latency target has passed. */
     [[nodiscard]] bool isLate() const;
     /** Time after which callers stop waiting for the first or the next event. */
     [[nodiscard]] Milliseconds callerWaitLimit() const;
@@ -161,8 +160,6 @@
     double m_promptTokens = 0;
     double m_outputTokens = 0;
     double m_maxOutputTokens = 0;
-    // Whether the caller's deadline is so much shorter than others of its route that the request must be a retry.
-    bool m_isCallerRetry = false;
     std::string m_service;
     quarantine::RequestTraits m_traits;
     quarantine::Fingerprint m_fingerprint{};
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <unordered_set>
 
 namespace magnolia::gateway
 {
@@ -135,15 +134,6 @@
     if (!context.catalogue) {
         return;
     }
-    std::unordered_set<std::string> routes;
-    for (const auto &[host, list] : context.catalogue->routesByHost) {
-        for (const catalogue::Route &route : list) {
-            routes.insert(route.name);
-        }
-    }
-    std::erase_if(context.maxCallerWaitTimes, [&](const auto &it) {
-        return !routes.contains(it.first);
-    });
     context.retryBudgets.retain([&context](const std::string &service) {
         return context.catalogue->services.contains(service);
     });
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -68,8 +68,6 @@
         MonoTime reportedAt{};
     };
     std::unordered_map<placement::UpstreamKey, UnreportedRequests> unreported;
-    /** Longest time for which a caller of each route was willing to wait. */
-    std::unordered_map<std::string, Milliseconds> maxCallerWaitTimes;
     /** Mean response time by plain service, in milliseconds. */
     std::unordered_map<std::string, double> meanServiceMs;
     /** Number of requests that were relayed to each peer. */
--- /dev/null
+++ b/src/gateway/tests/callertimetests.cpp
@@ -0,0 +1,108 @@
+// Checks that waits, refusals and the order at engines follow from the time that callers have and the work that is
+// left.
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace magnolia;
+using namespace magnolia::gateway;
+using namespace magnolia::gateway::tests;
+using catalogue::RouteKind;
+
+namespace
+{
+
+using Connection = ScriptedUpstream::Connection;
+
+constexpr int engineSlots = 16;
+
+void respondWithStream(Connection &connection, const std::string &request, int /*number*/)
+{
+    connection.send(eventStreamHead(request) + eventChunk(1) + eventChunk(2) + "0\r\n\r\n");
+}
+
+catalogue::EngineModel makeEngine()
+{
+    catalogue::EngineModel engine;
+    engine.slots = engineSlots;
+    engine.kvCapacityTokens = 405'000;
+    engine.stepsPerPass = 34;
+    engine.stepMs = 1.31;
+    engine.prefillTokensPerMs = 154;
+    engine.chunkTokens = 2048;
+    return engine;
+}
+
+struct EngineFixture : GatewayFixture
+{
+    EngineFixture()
+    {
+        addUpstream("service", respondWithStream);
+        catalogue->services["service"].engine = makeEngine();
+    }
+
+    catalogue::Route makeStream(Milliseconds latencyTarget) const
+    {
+        catalogue::Route stream = makeRoute(RouteKind::Stream);
+        stream.latencyTarget = latencyTarget;
+        stream.gapTarget = Milliseconds(250);
+        return stream;
+    }
+
+    httpwire::RequestHead makePrompt(const std::string &deadlineMs, const std::string &tokens = "960,340") const
+    {
+        httpwire::RequestHead head = makeRequest("id-1");
+        head.fields.remove("Deadline");
+        head.fields.add("Deadline", deadlineMs);
+        head.fields.add("Tokens", tokens);
+        return head;
+    }
+
+    /** Sends a request, runs until its end and returns the priority that its engine was given; -1 if it got none. */
+    int priorityOf(const catalogue::Route &theRoute, const std::string &deadlineMs)
+    {
+        const std::size_t before = upstreams.front()->requests.size();
+        catalogue->routesByHost.try_emplace("host.example", std::vector{theRoute});
+        const auto exchange = beginRequest(theRoute, makePrompt(deadlineMs), "body");
+        runUntil([&] {
+            return response.isFinished();
+        });
+        return upstreams.front()->requests.size() == before
+            ? -1
+            : std::stoi(headerField(upstreams.front()->requests.back(), "Engine-Priority"));
+    }
+
+    /** Registers requests of a peer that are being answered by the first upstream. */
+    void addRunningRequests(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            placement::Placement running;
+            running.id = static_cast<placement::PlacementId>(i) + 1;
+            running.primary = UpstreamIndex::keyOf(UpstreamId("u1"));
+            running.promptTokens = 960;
+            running.outputTokens = 1266;
+            running.gapTarget = Milliseconds(250);
+            running.placedAt = loop.now();
+            running.isDecoding = true;
+            context.placements.put("peer", running, loop.now());
+        }
+    }
+
+    [[nodiscard]] double retryAfter() const
+    {
+        return std::stod(std::string(response.head.fields.value("Retry-After")));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a caller with a shorter deadline than others of its route is not put behind them")
+{
+    // Guards against the guess that a short deadline marks a repeat, which the engine admitted last.
+    EngineFixture fixture;
+    const catalogue::Route route = fixture.makeStream(Milliseconds(300));
+    const int first = fixture.priorityOf(route, "10000");
+    REQUIRE(first >= 0);
+    CHECK(fixture.priorityOf(route, "7000") <= first);
+    CHECK(fixture.priorityOf(route, "1500") < first);
+}
