Gateway, placement: engines admit by promised rank, then by the least slack

Callers saw: a request that had used half of its route's latency target, by a wait or a failed attempt, was admitted after all others; routes with targets of 300 and 501 ms, whose callers wait equally long, got priorities 5 and 7.

Cause: the engine priority was computed from the latency target: two steps at 500 and 2,000 ms, and 9 after half of it. A caller who has waited has less time left, and was put last for it.

The ten priorities are divided equally among the ranks that the configuration promises (route or organisation), and within a rank by the slack: the time until the caller needs its first event, by its deadline and its patience, less the predicted time. The scale is the longest time that a caller of the configuration waits. CallerTime carries the caller's time; streamPatience() is the protocol's rule. Placements are no longer marked late; the bit stays in the messages for earlier builds, which read it.

--- a/bench/experiment/experiment.h
+++ b/bench/experiment/experiment.h
@@ -6,6 +6,7 @@
 #include "workload.h"
 
 #include "framework/testing/schedule.h"
+#include "placement/enginepriority.h"
 
 #include <memory>
 #include <string>
@@ -131,6 +132,7 @@
     bool m_knowsOutputLength;
     testing::Schedule m_schedule;
     const std::vector<Arrival> &m_arrivals;
+    placement::UrgencyScale m_urgencyScale;
     std::unique_ptr<IPolicy> m_policy;
     enginemodel::EngineFleet m_engines;
     std::vector<Outcome> m_outcomes;
--- a/src/fleet/types/peermessage.h
+++ b/src/fleet/types/peermessage.h
@@ -25,6 +25,7 @@
     std::uint32_t targetMs = 0;
     /** Time since the request was placed. An age is sent because the clocks of instances are not synchronised. */
     std::uint32_t ageMs = 0;
+    /** Read by earlier builds only, which expect the request to wait behind others if it is set. */
     bool isLate = false;
     bool isDecoding = false;
     std::uint32_t reservedTokensPerHelper = 0;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -1,6 +1,7 @@
 // Places requests and sends them to upstreams.
 #include "gateway/internal/exchange.h"
 
+#include "catalogue/callerbehaviour.h"
 #include "catalogue/routing.h"
 #include "fleet/cells.h"
 #include "framework/httpwire/messagewriter.h"
@@ -19,6 +20,7 @@
 #include "limits/retries.h"
 #include "placement/chooseservice.h"
 #include "placement/enginecost.h"
+#include "placement/enginepriority.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,9 +31,6 @@
 namespace
 {
 
-/** Callers abandon a stream after the longest of two seconds, four times its latency target and eight times its gap
- * target. */
-constexpr Milliseconds minCallerWaitLimit{2000};
 /** New work must end at least this long before the process ends. */
 constexpr Milliseconds stopMargin{900};
 /** Maximum factor by which concurrent prefills slow down the decoding of a response. */
@@ -45,18 +44,6 @@
 
 /** Retry-After of a refused request whose quarantine has ended but which this instance may not send. */
 constexpr Milliseconds minQuarantineRetryAfter{1000};
-/** Engine priority of requests that are already late. */
-constexpr int latePriority = 9;
-
-/** Returns the priority that is sent to engines: at equal base priority, a shorter latency target is admitted first. */
-int enginePriority(int basePriority, Milliseconds target)
-{
-    constexpr Milliseconds shortTarget{500};
-    constexpr Milliseconds mediumTarget{2000};
-    const int offset = target <= shortTarget ? 0 : target <= mediumTarget ? 2 : 4;
-    return std::clamp(basePriority + offset, 0, 9);
-}
-
 } // namespace
 
 Exchange::Exchange(GatewayContext &context, const catalogue::Route &route,
@@ -99,19 +86,52 @@
     return m_route.kind == catalogue::RouteKind::Stream;
 }
 
-bool Exchange::isLate() const
+Milliseconds Exchange::waitLimit() const
+{
+    return catalogue::streamPatience(m_route.latencyTarget, m_route.gapTarget);
+}
+
+placement::CallerTime Exchange::callerTime() const
+{
+    placement::CallerTime time;
+    time.untilDeadline = remainingTime();
+    // A response that has begun uses its full remaining time.
+    if (m_context.stopDeadline && !m_hasResponseBegun) {
+        time.untilStop = toMilliseconds(*m_context.stopDeadline - stopMargin - m_context.loop.now());
+    }
+    time.patience = time.untilDeadline;
+    if (isStream()) {
+        time.patience = waitLimit();
+        time.waited = toMilliseconds(m_context.loop.now() - (m_hasResponseBegun ? m_lastEventAt : m_receivedAt));
+    }
+    return time;
+}
+
+const catalogue::EngineModel *Exchange::engineOf(const std::string &service) const
 {
-    return m_hasResponseBegun || elapsed() > m_route.latencyTarget / 2;
+    const auto known = m_catalogue->services.find(service);
+    return known != m_catalogue->services.end() && known->second.engine ? &*known->second.engine : nullptr;
 }
 
-Milliseconds Exchange::callerWaitLimit() const
+double Exchange::decodeMs(const catalogue::EngineModel &engine) const
 {
-    return std::max({minCallerWaitLimit, 4 * m_route.latencyTarget, 8 * m_route.gapTarget});
+    const bool isStrictAdmission
+        = m_context.stopDeadline && m_context.loop.now() >= m_context.strictAdmissionFrom && !m_hasResponseBegun;
+    const std::uint64_t events = receivedEvents(engine);
+    const double tokens = isStrictAdmission
+        ? placement::remainingOutputTokens(engine, m_maxOutputTokens, events) * maxDecodeSlowdown
+        : placement::remainingOutputTokens(engine, m_outputTokens, events);
+    return tokens / std::max(engine.stepsPerPass, 1)
+        * placement::decodePassMs(engine, engine.slots / 2, m_promptTokens);
 }
 
-Milliseconds Exchange::waitLimit() const
+int Exchange::enginePriority() const
 {
-    return callerWaitLimit();
+    const int rank = m_organisation && m_organisation->priority ? *m_organisation->priority : m_route.priority;
+    const catalogue::EngineModel *const engine = engineOf(m_service);
+    const Milliseconds slack
+        = callerTime().untilFirstEvent(engine == nullptr ? 0 : decodeMs(*engine)) - m_decision.predictedFirstEvent;
+    return placement::enginePriority(placement::urgencyScale(*m_catalogue), rank, slack);
 }
 
 Milliseconds Exchange::elapsed() const
@@ -298,30 +318,20 @@
     }
     const Milliseconds timeLeft = availableTime();
     const auto loads = m_context.placements.loads(now);
-    const auto known = m_catalogue->services.find(service);
-    if (known != m_catalogue->services.end() && known->second.engine) {
-        const catalogue::EngineModel &engine = *known->second.engine;
+    if (const catalogue::EngineModel *const engine = engineOf(service)) {
         for (placement::Candidate &it : candidates) {
-            it.slots = std::max(engine.slots, 1);
+            it.slots = std::max(engine->slots, 1);
             // Measured on the placements of all instances, since one instance sends an engine too few requests.
             it.slowdown = m_context.placements.slowdown(it.key, now);
         }
-        const bool isStrictAdmission
-            = m_context.stopDeadline && now >= m_context.strictAdmissionFrom && !m_hasResponseBegun;
-        const std::uint64_t events = receivedEvents(engine);
-        const double tokens = isStrictAdmission
-            ? placement::remainingOutputTokens(engine, m_maxOutputTokens, events) * maxDecodeSlowdown
-            : placement::remainingOutputTokens(engine, m_outputTokens, events);
-        const double decodeMs = tokens / std::max(engine.stepsPerPass, 1)
-            * placement::decodePassMs(engine, engine.slots / 2, m_promptTokens);
         placement::WorkEstimate work;
         work.promptTokens = m_promptTokens;
         work.outputTokens = m_outputTokens;
         work.targetLeft = std::max(Milliseconds{1}, m_route.latencyTarget - elapsed());
-        work.timeLeft = std::min(callerWaitLimit(), timeLeft - Milliseconds(static_cast<std::int64_t>(decodeMs)));
-        work.isAlreadyLate = isLate();
+        work.timeLeft = callerTime().untilFirstEvent(decodeMs(*engine));
+        work.isAlreadyLate = m_hasResponseBegun || elapsed() > m_route.latencyTarget / 2;
         work.gapTarget = m_route.gapTarget;
-        return placement::chooseEngines(engine, work, candidates, loads, m_context.choice);
+        return placement::chooseEngines(*engine, work, candidates, loads, m_context.choice);
     }
     const auto measured = m_context.meanServiceMs.find(service);
     const placement::ServiceWork work{measured == m_context.meanServiceMs.end() ? initialServiceMs : measured->second,
@@ -469,11 +479,7 @@
         head.fields.add(names.lastEventId, m_lastEventId->text());
     }
     if (isStream()) {
-        const int basePriority
-            = m_organisation && m_organisation->priority ? *m_organisation->priority : m_route.priority;
-        const bool isOverdue = isLate() && !m_hasResponseBegun;
-        head.fields.add(names.enginePriority,
-            std::to_string(isOverdue ? latePriority : enginePriority(basePriority, m_route.latencyTarget)));
+        head.fields.add(names.enginePriority, std::to_string(enginePriority()));
     }
     std::string helpers;
     for (const placement::UpstreamKey key : decision.helpers) {
@@ -542,8 +548,6 @@
     placed.gapTarget = m_route.gapTarget;
     placed.firstEventTarget = std::max(Milliseconds{0}, m_route.latencyTarget - elapsed());
     placed.placedAt = m_attemptStartedAt;
-    // A resumed stream is not deferred as late, because its caller is waiting for the next event.
-    placed.isLate = isLate() && !m_hasResponseBegun;
     placed.reservedTokensPerHelper = m_decision.reservedTokensPerHelper;
     m_placementId = placed.id;
     m_context.placements.put(m_context.settings.instance.value(), placed, m_attemptStartedAt);
@@ -551,7 +555,7 @@
     m_context.fleet->announcePlacement(
         {placed.id, placed.primary, placed.helpers, static_cast<std::uint32_t>(placed.promptTokens),
             static_cast<std::uint32_t>(placed.outputTokens), static_cast<std::uint32_t>(placed.gapTarget.count()),
-            static_cast<std::uint32_t>(placed.firstEventTarget.count()), 0, placed.isLate, false,
+            static_cast<std::uint32_t>(placed.firstEventTarget.count()), 0, false, false,
             static_cast<std::uint32_t>(placed.reservedTokensPerHelper)});
 }
 
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -13,6 +13,7 @@
 #include "gateway/internal/relayprotocol.h"
 #include "gateway/irequesthandler.h"
 #include "outliers/types/attemptoutcome.h"
+#include "placement/types/callertime.h"
 #include "placement/types/decision.h"
 #include "placement/types/workestimate.h"
 #include "streaming/eventsplitter.h"
@@ -135,10 +136,12 @@
     void respondWithError(int status, std::string_view reason, std::optional<Milliseconds> retryAfter);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
     [[nodiscard]] bool isStream() const;
-    /** Whether the response is treated as late: after it has begun, or once half of the latency target has passed. */
-    [[nodiscard]] bool isLate() const;
-    /** Time after which callers stop waiting for the first or the next event. */
-    [[nodiscard]] Milliseconds callerWaitLimit() const;
+    [[nodiscard]] placement::CallerTime callerTime() const;
+    /** Returns the model of the engines of a service; null if it is a plain service. */
+    [[nodiscard]] const catalogue::EngineModel *engineOf(const std::string &service) const;
+    /** Returns the estimated time in milliseconds from the first event that is still to come to the last. */
+    [[nodiscard]] double decodeMs(const catalogue::EngineModel &engine) const;
+    [[nodiscard]] int enginePriority() const;
     [[nodiscard]] Milliseconds elapsed() const;
     [[nodiscard]] Milliseconds remainingTime() const;
 
@@ -199,6 +202,8 @@
     std::optional<streaming::EventId> m_lastEventId;
     std::uint64_t m_forwardedEvents = 0;
     MonoTime m_firstEventAt{};
+    // Time at which the caller was last sent an event.
+    MonoTime m_lastEventAt{};
 
     eventloop::TimerId m_timeoutTimer = 0;
     eventloop::TimerId m_silenceTimer = 0;
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -285,7 +285,7 @@
                                                  : 2 * m_route.latencyTarget;
     const Milliseconds probeAfter = std::max(minSilenceBeforeProbe, toleratedGap);
     const Milliseconds switchAfter = isStream()
-        ? Milliseconds(static_cast<std::int64_t>(static_cast<double>(callerWaitLimit().count()) * switchAfterShare))
+        ? Milliseconds(static_cast<std::int64_t>(static_cast<double>(waitLimit().count()) * switchAfterShare))
         : std::max(minSilenceBeforeProbe, 4 * m_route.latencyTarget);
     // A peer to which the request was relayed moves a silent attempt itself.
     if (silence > switchAfter && !isRelaying() && canSwitchUpstream()) {
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -205,6 +205,7 @@
     }
     m_bytesSinceEvent = 0;
     m_lastProgressAt = m_context.loop.now();
+    m_lastEventAt = m_lastProgressAt;
     if (!m_attemptFirstEventAt) {
         m_attemptFirstEventAt = m_context.loop.now();
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -203,7 +203,7 @@
         records.push_back({it.id, it.primary, it.helpers, toUint32(it.promptTokens), toUint32(it.outputTokens),
             static_cast<std::uint32_t>(it.gapTarget.count()), static_cast<std::uint32_t>(it.firstEventTarget.count()),
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(loop.now() - it.placedAt).count())),
-            it.isLate, it.isDecoding, toUint32(it.reservedTokensPerHelper)});
+            false, it.isDecoding, toUint32(it.reservedTokensPerHelper)});
     }
     return records;
 }
@@ -225,7 +225,7 @@
     for (const fleet::PlacementRecord &it : message.placements) {
         placements.push_back({it.id, it.primary, it.helpers, static_cast<double>(it.promptTokens),
             static_cast<double>(it.outputTokens), Milliseconds(it.gapTargetMs), loop.now() - Milliseconds(it.ageMs),
-            Milliseconds(it.targetMs), it.isLate, it.isDecoding, static_cast<double>(it.reservedTokensPerHelper)});
+            Milliseconds(it.targetMs), it.isDecoding, static_cast<double>(it.reservedTokensPerHelper)});
     }
     if (message.isFullState) {
         context.placements.replaceAll(message.instance, placements, loop.now());
--- a/src/gateway/tests/callertimetests.cpp
+++ b/src/gateway/tests/callertimetests.cpp
@@ -106,3 +106,21 @@
     CHECK(fixture.priorityOf(route, "7000") <= first);
     CHECK(fixture.priorityOf(route, "1500") < first);
 }
+
+TEST_CASE("callers who wait equally long are admitted alike, whatever the latency target of their route is")
+{
+    EngineFixture fixture;
+    const int first = fixture.priorityOf(fixture.makeStream(Milliseconds(300)), "10000");
+    CHECK(fixture.priorityOf(fixture.makeStream(Milliseconds(501)), "10000") == first);
+}
+
+TEST_CASE("the rank of a route counts before the time that its callers have")
+{
+    EngineFixture fixture;
+    catalogue::Route urgent = fixture.makeStream(Milliseconds(300));
+    urgent.priority = 1;
+    catalogue::Route other = fixture.makeStream(Milliseconds(300));
+    other.priority = 2;
+    fixture.catalogue->routesByHost["host.example"] = {urgent, other};
+    CHECK(fixture.priorityOf(urgent, "10000") < fixture.priorityOf(other, "1500"));
+}
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -192,11 +192,10 @@
     return ms;
 }
 
-/** Returns the number of responses that must end before this request gets a slot; late requests wait behind it. */
+/** Returns the number of responses that must end before this request gets a slot if it waits behind all known ones. */
 int ChoiceContext::requestsAhead(const Engine &it) const
 {
-    const int before = it.load->requests - (work.isAlreadyLate ? 0 : it.load->waitingLate);
-    return before + it.candidate->unreportedRequests + 1 - it.candidate->slots;
+    return it.load->requests + it.candidate->unreportedRequests + 1 - it.candidate->slots;
 }
 
 double ChoiceContext::orderCost(const Engine &it, double part) const
--- a/src/placement/internal/placementtable.cpp
+++ b/src/placement/internal/placementtable.cpp
@@ -105,7 +105,7 @@
     const auto requests = m_requests.find(it.primary);
     // Of a request that has waited for a slot, or of which this instance learns late, the time tells nothing.
     const bool hasSlot = engine != nullptr && (requests == m_requests.end() || requests->second.count < engine->slots);
-    if (!hasSlot || it.isDecoding || it.isLate || now - it.placedAt > maxMeasuredNoticeTime) {
+    if (!hasSlot || it.isDecoding || now - it.placedAt > maxMeasuredNoticeTime) {
         return {};
     }
     std::vector<ExpectedFirstEvent> expected;
@@ -264,7 +264,6 @@
         const Placement &it = entry.placement;
         PlacementLoad &primary = loads[it.primary];
         ++primary.requests;
-        primary.waitingLate += it.isLate && !it.isDecoding ? 1 : 0;
         const double helperTokens = it.reservedTokensPerHelper * static_cast<double>(it.helpers.size());
         primary.usedKvTokens += std::max(it.promptTokens - helperTokens, 0.0) + it.outputTokens;
         for (const UpstreamKey helper : it.helpers) {
--- a/src/placement/placementtable.h
+++ b/src/placement/placementtable.h
@@ -36,8 +36,6 @@
 
     /** Requests with this upstream as primary, in prefill or decode. */
     int requests = 0;
-    /** Those of `requests` that are late and wait behind all requests that can be on time. */
-    int waitingLate = 0;
     /** Prompt parts to prefill for other engines. */
     int helperPrefills = 0;
     std::vector<DecodingRequest> decodingRequests;
--- a/src/placement/types/placement.h
+++ b/src/placement/types/placement.h
@@ -28,8 +28,6 @@
     MonoTime placedAt{};
     /** Target time from the placement to the first event. */
     Milliseconds firstEventTarget{0};
-    /** Already late when placed; the engine admits it after all requests that can still be on time. */
-    bool isLate = false;
     /** Whether the first event has arrived. */
     bool isDecoding = false;
     /** KV cache tokens reserved on each helper; 0 if all memory is on the primary. */
