Placement: a request is refused only if its caller cannot be served in time

Callers saw: on a full fleet one of two callers with a deadline of 10 s and a target of 300 ms was refused, though it would have been answered after 1.3 s with 8.7 s left; callers with a target of 2,500 ms were not refused. Callers who came back were admitted where a first try was refused. Callers whose deadline was shorter than the work were told to come back.

Cause: "crowded" compared credits: the loss by a late answer, by a second refusal and for others, and a price of engine time; it refused what would miss its target. Retry-After was a quarter of the time or what was beyond the target.

chooseEngines() and chooseServiceUpstream() take the caller's time and the work that is left. Retry-After is when a new attempt can be served (timeUntilServable); none is named when the deadline passes before.

The test of the backlog's Retry-After required a time for callers that could not be served. Pauses and limits that outlast the caller's time are no longer named; both cases are checked.

--- a/bench/experiment/decisioncost.cpp
+++ b/bench/experiment/decisioncost.cpp
@@ -79,13 +79,13 @@
     }
     placement::WorkEstimate work;
     work.outputTokens = 1000;
-    work.gapTarget = Milliseconds(250);
+    const placement::ResponseTargets targets{Milliseconds(300), Milliseconds(250)};
     auto startedAt = std::chrono::steady_clock::now();
     for (int i = 0; i < decisionCount; ++i) {
         now += Milliseconds(1);
         work.promptTokens = i % 10 == 0 ? 180'000 : 5000;
         const auto loads = table.loads(now);
-        (void)placement::chooseEngines(engine, work, candidates, loads, {});
+        (void)placement::chooseEngines(engine, work, {}, targets, candidates, loads, {});
     }
     cost.decisionUs = microsecondsSince(startedAt) / decisionCount;
     startedAt = std::chrono::steady_clock::now();
--- a/bench/experiment/ipolicy.h
+++ b/bench/experiment/ipolicy.h
@@ -1,6 +1,7 @@
 // Interface of policies, which choose the engines for a prompt and are told about the progress of their placements.
 #pragma once
 
+#include "placement/types/callertime.h"
 #include "placement/types/decision.h"
 #include "placement/types/placement.h"
 #include "placement/types/workestimate.h"
@@ -11,14 +12,21 @@
 namespace magnolia::bench
 {
 
+/** A request as the instance sees it that has received it. */
+struct ReceivedRequest
+{
+    placement::WorkEstimate work;
+    placement::CallerTime time;
+    placement::ResponseTargets targets;
+};
+
 class IPolicy
 {
 public:
     virtual ~IPolicy() = default;
 
     /** `instance` received the request. The upstream key of an engine is its index plus one. */
-    [[nodiscard]] virtual placement::Decision choose(
-        std::size_t instance, const placement::WorkEstimate &work, MonoTime now)
+    [[nodiscard]] virtual placement::Decision choose(std::size_t instance, const ReceivedRequest &request, MonoTime now)
         = 0;
     virtual void onPlaced(std::size_t instance, const placement::Placement &placed, MonoTime now) = 0;
     virtual void onFirstEvent(std::size_t instance, placement::PlacementId id, MonoTime now) = 0;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -17,6 +17,7 @@
 #include "gateway/internal/upstreamcall.h"
 #include "gateway/internal/upstreamsignals.h"
 #include "gateway/iresponsewriter.h"
+#include "limits/backoff.h"
 #include "limits/retries.h"
 #include "placement/chooseservice.h"
 #include "placement/enginecost.h"
@@ -94,12 +95,10 @@
 placement::CallerTime Exchange::callerTime() const
 {
     placement::CallerTime time;
-    time.untilDeadline = remainingTime();
-    // A response that has begun uses its full remaining time.
-    if (m_context.stopDeadline && !m_hasResponseBegun) {
-        time.untilStop = toMilliseconds(*m_context.stopDeadline - stopMargin - m_context.loop.now());
-    }
-    time.patience = time.untilDeadline;
+    time.untilDeadline = toMilliseconds(m_callerDeadline - m_context.loop.now());
+    time.untilAttemptEnds = availableTime();
+    time.attemptTime = m_route.timeout;
+    time.patience = Milliseconds::max();
     if (isStream()) {
         time.patience = waitLimit();
         time.waited = toMilliseconds(m_context.loop.now() - (m_hasResponseBegun ? m_lastEventAt : m_receivedAt));
@@ -150,6 +149,7 @@
     const double deadline = readNumber(m_head.fields.value(names.deadline));
     const Milliseconds callerWaitTime
         = deadline > 0 ? Milliseconds(static_cast<std::int64_t>(deadline)) : m_route.timeout;
+    m_callerDeadline = m_receivedAt + callerWaitTime;
     m_deadline = m_receivedAt + std::min(callerWaitTime, m_route.timeout);
     m_lastEventId = streaming::EventId::parse(m_head.fields.value(names.lastEventId));
     readEstimates();
@@ -313,10 +313,12 @@
     if (candidates.empty() && firstAvailableAt != MonoTime::max()) {
         placement::Decision refused;
         refused.verdict = placement::Verdict::Paused;
-        refused.retryAfter = toMilliseconds(firstAvailableAt - now);
+        const Milliseconds pause = toMilliseconds(firstAvailableAt - now);
+        if (pause < callerTime().untilDeadline) {
+            refused.retryAfter = pause;
+        }
         return refused;
     }
-    const Milliseconds timeLeft = availableTime();
     const auto loads = m_context.placements.loads(now);
     if (const catalogue::EngineModel *const engine = engineOf(service)) {
         for (placement::Candidate &it : candidates) {
@@ -327,15 +329,14 @@
         placement::WorkEstimate work;
         work.promptTokens = m_promptTokens;
         work.outputTokens = m_outputTokens;
-        work.targetLeft = std::max(Milliseconds{1}, m_route.latencyTarget - elapsed());
-        work.timeLeft = callerTime().untilFirstEvent(decodeMs(*engine));
-        work.isAlreadyLate = m_hasResponseBegun || elapsed() > m_route.latencyTarget / 2;
-        work.gapTarget = m_route.gapTarget;
-        return placement::chooseEngines(*engine, work, candidates, loads, m_context.choice);
+        work.decodeMs = decodeMs(*engine);
+        const placement::ResponseTargets targets{
+            std::max(Milliseconds{1}, m_route.latencyTarget - elapsed()), m_route.gapTarget};
+        return placement::chooseEngines(*engine, work, callerTime(), targets, candidates, loads, m_context.choice);
     }
     const auto measured = m_context.meanServiceMs.find(service);
     const placement::ServiceWork work{measured == m_context.meanServiceMs.end() ? initialServiceMs : measured->second,
-        timeLeft, m_context.random.next()};
+        callerTime(), m_context.random.next()};
     return placement::chooseServiceUpstream(work, candidates, loads);
 }
 
@@ -411,6 +412,13 @@
             }
         }
     }
+    if (decision.verdict == placement::Verdict::NoUpstream) {
+        const auto since = m_context.withoutUpstreamSince.try_emplace(m_service, m_context.loop.now()).first->second;
+        decision.retryAfter = limits::outageRetryAfter(
+            toMilliseconds(m_context.loop.now() - since), callerTime().untilDeadline, m_context.random);
+    } else {
+        m_context.withoutUpstreamSince.erase(m_service);
+    }
     const KnownUpstream *chosen = m_context.upstreams.find(decision.primary);
     const bool isOnCold = chosen != nullptr && m_context.cold->coldTimeLeft(*chosen) > Milliseconds{0};
     const std::string chosenId = decision.primary == 0 ? std::string() : m_context.upstreams.idOf(decision.primary);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -112,11 +112,17 @@
      * it is not charged to the retry budget. */
     void retryUnsent(std::string_view reason);
     /** Gives up unless the path monitor, which is investigating, finds that the request can be relayed. */
-    void awaitPath(std::string_view reason, Milliseconds retryAfter);
+    void awaitPath(std::string_view reason, std::optional<Milliseconds> retryAfter);
     [[nodiscard]] bool canRetry() const;
     /** Whether the request would certainly be sent to another upstream if the current attempt ended now. */
     [[nodiscard]] bool canSwitchUpstream();
-    void giveUp(std::string_view reason, Milliseconds retryAfter);
+    /**
+     * Ends the request without a response. `retryAfter` is the time after which the caller can be served; empty if that
+     * is not known, or too late for this caller.
+     */
+    void giveUp(std::string_view reason, std::optional<Milliseconds> retryAfter);
+    /** Returns a delay from `retryAfter` on, so that callers who are refused together do not return together. */
+    [[nodiscard]] Milliseconds spreadRetryAfter(Milliseconds retryAfter);
     void onFullResponse();
     /** Returns the head of the upstream's response for the caller or the relaying peer. */
     [[nodiscard]] httpwire::ResponseHead responseHead() const;
@@ -156,6 +162,10 @@
     MonoTime m_receivedAt;
     // Set if a peer has relayed this request.
     std::optional<RelayOrigin> m_relayOrigin;
+    // End of the caller's time.
+    MonoTime m_callerDeadline;
+    // End of this attempt of the caller: its deadline or the timeout of the route. Invariant: not after
+    // `m_callerDeadline`.
     MonoTime m_deadline;
     IResponseWriter &m_responseWriter;
     std::string m_requestId;
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -1,4 +1,5 @@
 // Handles failed and silent attempts, and completes requests.
+#include "catalogue/callerbehaviour.h"
 #include "framework/httpwire/messagewriter.h"
 #include "framework/logging/log.h"
 #include "gateway/internal/coldupstreams.h"
@@ -156,7 +157,7 @@
     place();
 }
 
-void Exchange::awaitPath(std::string_view reason, Milliseconds retryAfter)
+void Exchange::awaitPath(std::string_view reason, std::optional<Milliseconds> retryAfter)
 {
     m_hasAwaitedPath = true;
     m_context.path->confirmPath(0,
@@ -174,7 +175,15 @@
         });
 }
 
-void Exchange::giveUp(std::string_view reason, Milliseconds retryAfter)
+Milliseconds Exchange::spreadRetryAfter(Milliseconds retryAfter)
+{
+    // Callers honour a Retry-After up to this time, and would all return then.
+    const auto honoured = Milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(callerTime().untilDeadline.count()) * catalogue::honouredRetryAfterShare));
+    return std::min(limits::jitteredRetryAfter(retryAfter, m_context.random), std::max(retryAfter, honoured));
+}
+
+void Exchange::giveUp(std::string_view reason, std::optional<Milliseconds> retryAfter)
 {
     if (m_hasResponseBegun) {
         logOutcome("broken_off", 0, reason);
@@ -183,7 +192,7 @@
         return;
     }
     if (m_attempts.hasCertainlyNotRun()) {
-        respondWithError(503, reason, limits::jitteredRetryAfter(retryAfter, m_context.random));
+        respondWithError(503, reason, retryAfter ? std::optional(spreadRetryAfter(*retryAfter)) : std::nullopt);
         return;
     }
     respondWithError(502, reason, std::nullopt);
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -137,6 +137,9 @@
     context.retryBudgets.retain([&context](const std::string &service) {
         return context.catalogue->services.contains(service);
     });
+    std::erase_if(context.withoutUpstreamSince, [&context](const auto &it) {
+        return !context.catalogue->services.contains(it.first);
+    });
     std::erase_if(context.meanServiceMs, [&context](const auto &it) {
         return !context.catalogue->services.contains(it.first);
     });
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -68,6 +68,8 @@
         MonoTime reportedAt{};
     };
     std::unordered_map<placement::UpstreamKey, UnreportedRequests> unreported;
+    /** Times since which no upstream of a service can be used; services with a usable one are not listed. */
+    std::unordered_map<std::string, MonoTime> withoutUpstreamSince;
     /** Mean response time by plain service, in milliseconds. */
     std::unordered_map<std::string, double> meanServiceMs;
     /** Number of requests that were relayed to each peer. */
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -756,6 +756,11 @@
     addSmallEngines(fixture, script);
     httpwire::RequestHead head = fixture.makeRequest("id-1");
     head.fields.add("Tokens", "1600, 20");
+    const bool isPatient = GENERATE(true, false);
+    if (isPatient) {
+        head.fields.remove("Deadline");
+        head.fields.add("Deadline", "90000");
+    }
     const auto exchange = fixture.beginRequest(fixture.makeRoute(RouteKind::Stream), head, "body");
     // Answers to other requests tell meanwhile that all engines want nothing.
     for (const auto &[name, record] : fixture.upstreamRecords) {
@@ -773,7 +778,11 @@
         }
     }
     CHECK(fixture.response.head.status == 503);
-    CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) > 50);
+    // The time of a caller that waits for 4 s ends before the pause does.
+    REQUIRE(fixture.response.head.fields.has("Retry-After") == isPatient);
+    if (isPatient) {
+        CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) > 50);
+    }
 }
 
 TEST_CASE("a request whose memory is being reserved is not sent to an upstream that leaves or is removed meanwhile")
@@ -898,6 +907,14 @@
     fixture.context.upstreams.rebuild(fixture.upstreamRecords, fixture.settings.dataCentre);
     fixture.runRequest(fixture.makeRoute(RouteKind::AtMostOnce), "id-refused");
     CHECK(fixture.response.head.status == 503);
+    // The limit leaves a request every ten seconds, and this caller waits for four.
+    CHECK_FALSE(fixture.response.head.fields.has("Retry-After"));
+    httpwire::RequestHead patient = fixture.makeRequest("id-patient");
+    patient.fields.remove("Deadline");
+    patient.fields.add("Deadline", "30000");
+    const auto exchange = fixture.beginRequest(fixture.makeRoute(RouteKind::AtMostOnce), patient, "body");
+    REQUIRE(fixture.response.isFinished());
+    CHECK(fixture.response.head.status == 503);
     CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) > 5);
     CHECK(upstream.requests.size() == 2);
 }
--- a/src/placement/chooseengines.h
+++ b/src/placement/chooseengines.h
@@ -3,6 +3,9 @@
 // Designed for prompts of a thousand to a million tokens on one fleet, peaks of short and of long prompts that follow
 // each other within seconds, and several instances that choose at the same time.
 //
+// A request is served if its caller has the time for it, unless callers who were there before would be lost by it. The
+// targets of the operator decide only among the engines that serve in time.
+//
 // Short prefills fill the engines from the start of a shared order and long prefills from its end, so the boundary
 // between them follows the load without being configured or communicated. A long prompt is split over as many engines
 // as its target requires. The cost of a group of engines is the worth lost by callers: by this request if it is late,
@@ -11,6 +14,7 @@
 
 #include "catalogue/types/enginemodel.h"
 #include "placement/placementtable.h"
+#include "placement/types/callertime.h"
 #include "placement/types/candidate.h"
 #include "placement/types/decision.h"
 #include "placement/types/workestimate.h"
@@ -41,22 +45,18 @@
     double decodeOverheadFactor = 1.25;
     /** Maximum number of engines for one prompt; the published limit of helpers is 16. */
     std::size_t maxEngines = 16;
-    /** Share of its worth that a request loses by a second refusal. */
-    double secondRefusalLoss = 0.5;
     /** Share of the engines that one prompt may take without a cost for requests that arrive meanwhile. */
     double freeGroupShare = 0.5;
     /** Typical time of a response; converts the worth of current requests to a rate of arrival. */
     double typicalResponseMs = 2000;
-    /** Mean backlog of the engines at which engine time is charged at full price. */
-    double fullPriceBacklogMs = 2500;
 };
 
 /**
- * Chooses the engines with the lowest cost, or refuses the request. `loads` come from PlacementTable::loads, and
- * `candidates` are in the order shared by all instances.
+ * Chooses the engines with the lowest cost among those that serve the caller in time, or refuses the request. `loads`
+ * come from PlacementTable::loads, and `candidates` are in the order shared by all instances.
  */
 [[nodiscard]] Decision chooseEngines(const catalogue::EngineModel &engine, const WorkEstimate &work,
-    std::span<const Candidate> candidates, const std::unordered_map<UpstreamKey, PlacementLoad> &loads,
-    const ChoiceParameters &parameters);
+    const CallerTime &time, const ResponseTargets &targets, std::span<const Candidate> candidates,
+    const std::unordered_map<UpstreamKey, PlacementLoad> &loads, const ChoiceParameters &parameters);
 
 } // namespace magnolia::placement
--- a/src/placement/chooseservice.h
+++ b/src/placement/chooseservice.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "placement/placementtable.h"
+#include "placement/types/callertime.h"
 #include "placement/types/candidate.h"
 #include "placement/types/decision.h"
 
@@ -20,15 +21,15 @@
 {
     /** Measured mean time for which a request occupies a slot. */
     double meanServiceMs = 50;
-    Milliseconds timeLeft{1000};
+    CallerTime time;
     /** Random draw of this choice; differs between instances and requests. */
     std::uint64_t seed = 0;
 };
 
 /**
  * Chooses the less loaded of two random upstreams among those whose predicted time is near the shortest; refuses if the
- * shortest exceeds `timeLeft`. Source: Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 11(1), 2000: with
- * information that is out of date, the least loaded of two is better than the least loaded of all.
+ * shortest exceeds the time of the caller. Source: Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 11(1),
+ * 2000: with information that is out of date, the least loaded of two is better than the least loaded of all.
  */
 [[nodiscard]] Decision chooseServiceUpstream(const ServiceWork &work, std::span<const Candidate> candidates,
     const std::unordered_map<UpstreamKey, PlacementLoad> &loads);
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -1,6 +1,7 @@
 // Engine selection for a prompt.
 #include "placement/chooseengines.h"
 
+#include "catalogue/callerbehaviour.h"
 #include "placement/enginecost.h"
 
 #include <algorithm>
@@ -8,6 +9,7 @@
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <tuple>
 
 namespace magnolia::placement
 {
@@ -21,10 +23,6 @@
 constexpr double memoryReserve = 0.05;
 /** Share of the gap target above which a predicted gap risks exceeding the target. */
 constexpr double riskyGapShare = 0.9;
-/** A retry sooner than this gains nothing. */
-constexpr Milliseconds minRetryAfter{200};
-/** Published share of their remaining time up to which callers wait before a retry. */
-constexpr double maxRetryDelayShare = 1.0 / 3;
 
 /** State of an engine during one choice. */
 struct Engine
@@ -40,16 +38,24 @@
     double cost = std::numeric_limits<double>::infinity();
     double firstEventMs = std::numeric_limits<double>::infinity();
     double reservedTokensPerHelper = 0;
+    /** Whether the caller gets its whole response in time. */
+    bool isInTime = false;
+    /** Callers who were there before and would leave without a response because of this plan. */
+    int lostCallers = 0;
 };
 
 struct ChoiceContext
 {
     const catalogue::EngineModel &engine;
     const WorkEstimate &work;
+    const CallerTime &time;
+    const ResponseTargets &targets;
     const ChoiceParameters &parameters;
     std::vector<Engine> engines;
     double worth = 0;
     double wholePrefillMs = 0;
+    /** Time left for the first event, in milliseconds. */
+    double firstEventLimitMs = 0;
 
     [[nodiscard]] double partMs(std::size_t parts) const
     {
@@ -63,18 +69,40 @@
             * it.candidate->slowdown;
     }
 
+    [[nodiscard]] int lostCallers(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] double lossOfOthers(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] double latenessLoss(double predictedMs) const;
     [[nodiscard]] double firstEventMs(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] int requestsAhead(const Engine &it) const;
-    [[nodiscard]] double engineTimePrice() const;
-    [[nodiscard]] double meanBacklogMs() const;
     [[nodiscard]] double occupancyLoss(std::size_t parts, double part) const;
     [[nodiscard]] bool canFitOneEngine() const;
     [[nodiscard]] double orderCost(const Engine &it, double part) const;
     [[nodiscard]] bool hasMemoryFor(const Engine &it, double tokens) const;
 };
 
+/**
+ * Returns how many callers leave because of this prompt: of own prompts of the engine that a helper part delays, and of
+ * streams that decode there. An own prompt waits behind those that were there before.
+ */
+int ChoiceContext::lostCallers(const Engine &it, double part, bool isHelper) const
+{
+    const double slowdown = it.candidate->slowdown;
+    const auto isLost = [&](const PlacementLoad::PendingPrefill &pending) {
+        return isHelper && pending.patienceMs >= 0 && pending.patienceMs < part * slowdown;
+    };
+    const double pass = passMs(it);
+    const double maxInPass = maxPrefillMsInPass(engine, work.promptTokens);
+    const double gap = pass + std::min(it.load->backlogMs, maxInPass) * slowdown;
+    const double gapWithPart = pass + std::min(it.load->backlogMs + part, maxInPass) * slowdown;
+    const auto isAbandoned = [&](const PlacementLoad::DecodingRequest &decoding) {
+        const auto patience
+            = static_cast<double>(catalogue::streamPatience(Milliseconds{0}, decoding.gapTarget).count());
+        return gap <= patience && gapWithPart > patience;
+    };
+    return static_cast<int>(std::count_if(it.load->pendingPrefills.begin(), it.load->pendingPrefills.end(), isLost)
+        + std::count_if(it.load->decodingRequests.begin(), it.load->decodingRequests.end(), isAbandoned));
+}
+
 /**
  * Returns the worth that other requests lose: streams that decode there, or will when this prompt is prefilled, by the
  * longer gap, and own prompts of the engine that a helper part delays.
@@ -106,23 +134,6 @@
     return loss;
 }
 
-/** Returns the worth of a millisecond of engine time: 0 while the engines are idle, that of a long prompt at peak. */
-double ChoiceContext::engineTimePrice() const
-{
-    const double prompt = engine.kvCapacityTokens / 2;
-    const double worthPerMs = worthOf(prompt, 0) / std::max(1.0, prefillMs(engine, prompt));
-    return worthPerMs * std::min(1.0, meanBacklogMs() / parameters.fullPriceBacklogMs);
-}
-
-double ChoiceContext::meanBacklogMs() const
-{
-    double backlog = 0;
-    for (const Engine &it : engines) {
-        backlog += it.load->backlogMs * it.candidate->slowdown;
-    }
-    return backlog / static_cast<double>(std::max<std::size_t>(1, engines.size()));
-}
-
 /**
  * Returns the worth lost by requests that arrive during the prefill and find the engines taken. Their rate is estimated
  * from the current requests and the typical time of a response. A group that leaves enough engines free costs nothing.
@@ -150,15 +161,11 @@
 
 double ChoiceContext::latenessLoss(double predictedMs) const
 {
-    const double target = std::max<double>(1, static_cast<double>(work.targetLeft.count()));
-    const double left = static_cast<double>(work.timeLeft.count());
+    const double target = std::max<double>(1, static_cast<double>(targets.firstEvent.count()));
+    const double left = firstEventLimitMs;
     if (predictedMs >= left) {
         return 1;
     }
-    if (work.isAlreadyLate) {
-        // The request is late in any case; it only has to arrive while the caller waits.
-        return (1 - parameters.lateLoss) * predictedMs / left;
-    }
     const double share = predictedMs / target;
     if (share <= parameters.safeTargetShare) {
         return 0;
@@ -224,95 +231,176 @@
         || work.promptTokens + work.outputTokens <= engine.kvCapacityTokens * (1 - memoryReserve);
 }
 
-/** Returns the cost of an engine as a member of a group, including its position in the shared order. */
-double memberCost(const ChoiceContext &choice, const Engine &it, double part, bool isHelper)
+/** What an engine would mean as a member of a group. Fewer lost callers go before lower cost. */
+struct Member
 {
-    const double late = choice.latenessLoss(choice.firstEventMs(it, part, isHelper)) * choice.worth;
+    std::size_t index = 0;
+    int lostCallers = 0;
+    double cost = 0;
+
+    [[nodiscard]] bool isBetterThan(const Member &other) const
+    {
+        return std::tie(lostCallers, cost) < std::tie(other.lostCallers, other.cost);
+    }
+};
+
+/** Rates an engine as a member; the cost includes its position in the shared order. */
+Member rateMember(const ChoiceContext &choice, std::size_t index, double part, bool isHelper)
+{
+    const Engine &it = choice.engines[index];
+    const double firstEventMs = choice.firstEventMs(it, part, isHelper);
+    const double late = choice.latenessLoss(firstEventMs) * choice.worth;
     // Among engines that would all be on time, prefers the one that is free first.
     const double wait = it.load->backlogMs * it.candidate->slowdown
-        / std::max<double>(1, static_cast<double>(choice.work.targetLeft.count()));
+        / std::max<double>(1, static_cast<double>(choice.targets.firstEvent.count()));
     constexpr double waitCost = 0.1;
-    return choice.lossOfOthers(it, part, isHelper) + late + choice.orderCost(it, part) + waitCost * choice.worth * wait;
+    const int ownLoss = firstEventMs >= choice.firstEventLimitMs ? 1 : 0;
+    return {index, ownLoss + choice.lostCallers(it, part, isHelper),
+        choice.lossOfOthers(it, part, isHelper) + late + choice.orderCost(it, part) + waitCost * choice.worth * wait};
 }
 
-/** Plans a group of `parts` engines: the cheapest primary with enough memory, and the cheapest helpers. */
+/** Plans a group of `parts` engines: the best primary with enough memory, and the best helpers. */
 std::optional<Plan> planGroup(const ChoiceContext &choice, std::size_t parts)
 {
     const double part = choice.partMs(parts);
     const double neededTokens = choice.work.promptTokens + choice.work.outputTokens;
     const bool isSplitMemory = !choice.canFitOneEngine();
     const double share = isSplitMemory ? std::ceil(neededTokens / static_cast<double>(parts)) : 0;
-    struct Ranked
-    {
-        std::size_t index;
-        double cost;
-    };
-    std::optional<Ranked> primary;
+    std::optional<Member> primary;
     for (std::size_t i = 0; i < choice.engines.size(); ++i) {
-        const Engine &it = choice.engines[i];
-        if (choice.hasMemoryFor(it, isSplitMemory ? share : neededTokens)) {
-            const double cost = memberCost(choice, it, part, false);
-            if (!primary || cost < primary->cost) {
-                primary = Ranked{i, cost};
+        if (choice.hasMemoryFor(choice.engines[i], isSplitMemory ? share : neededTokens)) {
+            const Member member = rateMember(choice, i, part, false);
+            if (!primary || member.isBetterThan(*primary)) {
+                primary = member;
             }
         }
     }
     if (!primary) {
         return std::nullopt;
     }
-    std::vector<Ranked> ranked;
+    std::vector<Member> helpers;
     for (std::size_t i = 0; i < choice.engines.size() && parts > 1; ++i) {
-        const Engine &it = choice.engines[i];
-        if (i != primary->index && (!isSplitMemory || choice.hasMemoryFor(it, share))) {
-            ranked.push_back({i, memberCost(choice, it, part, true)});
+        if (i != primary->index && (!isSplitMemory || choice.hasMemoryFor(choice.engines[i], share))) {
+            helpers.push_back(rateMember(choice, i, part, true));
         }
     }
-    if (ranked.size() + 1 < parts) {
+    if (helpers.size() + 1 < parts) {
         return std::nullopt;
     }
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
-        return a.cost < b.cost;
+    std::sort(helpers.begin(), helpers.end(), [](const Member &a, const Member &b) {
+        return a.isBetterThan(b);
     });
     Plan plan;
     plan.reservedTokensPerHelper = share;
     plan.members.push_back(primary->index);
     const Engine &primaryEngine = choice.engines[primary->index];
     plan.firstEventMs = choice.firstEventMs(primaryEngine, part, false);
+    plan.lostCallers = choice.lostCallers(primaryEngine, part, false);
     plan.cost = choice.lossOfOthers(primaryEngine, part, false) + choice.orderCost(primaryEngine, part)
         + choice.parameters.helperCost * static_cast<double>(parts - 1) * choice.worth;
     for (std::size_t i = 0; i + 1 < parts; ++i) {
-        const Engine &it = choice.engines[ranked[i].index];
-        plan.members.push_back(ranked[i].index);
+        const Engine &it = choice.engines[helpers[i].index];
+        plan.members.push_back(helpers[i].index);
         plan.firstEventMs = std::max(plan.firstEventMs, choice.firstEventMs(it, part, true));
+        plan.lostCallers += choice.lostCallers(it, part, true);
         plan.cost += choice.lossOfOthers(it, part, true) + choice.orderCost(it, part) / static_cast<double>(parts);
     }
     plan.cost += choice.latenessLoss(plan.firstEventMs) * choice.worth + choice.occupancyLoss(parts, part);
+    plan.isInTime = plan.firstEventMs < choice.firstEventLimitMs;
     return plan;
 }
 
+/** A plan that serves in time goes first, then one by which fewer callers are lost, then the one of lower cost. */
+bool isBetter(const Plan &a, const Plan &b)
+{
+    if (!a.isInTime && !b.isInTime) {
+        return a.firstEventMs < b.firstEventMs;
+    }
+    return std::make_tuple(!a.isInTime, a.lostCallers, a.cost) < std::make_tuple(!b.isInTime, b.lostCallers, b.cost);
+}
+
+/** Returns the time until an engine has prefilled all its prompts, in milliseconds. */
+double timeUntilIdlePrefill(const ChoiceContext &choice)
+{
+    double earliest = std::numeric_limits<double>::infinity();
+    for (const Engine &it : choice.engines) {
+        earliest = std::min(earliest, it.load->backlogMs * it.candidate->slowdown);
+    }
+    return earliest;
+}
+
+/** Returns the time until `tokens` fit into the memory of an engine, in milliseconds; infinite if they never do. */
+double timeUntilMemory(const ChoiceContext &choice, const Engine &it, double tokens)
+{
+    if (choice.hasMemoryFor(it, tokens)) {
+        return 0;
+    }
+    std::vector<PlacementLoad::MemoryHold> holds = it.load->memoryHolds;
+    std::sort(holds.begin(), holds.end(), [](const auto &a, const auto &b) {
+        return a.endsInMs < b.endsInMs;
+    });
+    double freed = 0;
+    for (const PlacementLoad::MemoryHold &hold : holds) {
+        freed += hold.tokens;
+        if (choice.hasMemoryFor(it, tokens - freed)) {
+            return hold.endsInMs * it.candidate->slowdown;
+        }
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+/** Returns the time until the prompt fits on one engine or on a group of some size, in milliseconds. */
+double timeUntilMemory(const ChoiceContext &choice)
+{
+    const double neededTokens = choice.work.promptTokens + choice.work.outputTokens;
+    double earliest = std::numeric_limits<double>::infinity();
+    for (const std::size_t parts : groupSizes) {
+        if (parts > choice.engines.size() || parts > choice.parameters.maxEngines) {
+            break;
+        }
+        std::vector<double> times;
+        for (const Engine &it : choice.engines) {
+            times.push_back(timeUntilMemory(choice, it, std::ceil(neededTokens / static_cast<double>(parts))));
+        }
+        std::sort(times.begin(), times.end());
+        earliest = std::min(earliest, times[parts - 1]);
+        if (choice.canFitOneEngine()) {
+            break;
+        }
+    }
+    return earliest;
+}
+
 Decision refusal(Verdict verdict, const ChoiceContext &choice, double firstEventMs)
 {
     Decision decision;
     decision.verdict = verdict;
-    const double target = static_cast<double>(choice.work.targetLeft.count());
-    const double wait = std::isfinite(firstEventMs) ? firstEventMs - target : target;
-    const double longest = static_cast<double>(choice.work.timeLeft.count()) / 4;
-    decision.retryAfter
-        = std::max(minRetryAfter, Milliseconds(static_cast<std::int64_t>(std::clamp(wait, 0.0, longest))));
+    decision.retryAfter = timeUntilServable(choice.time, firstEventMs, choice.work.decodeMs);
     decision.predictedFirstEvent
         = Milliseconds(std::isfinite(firstEventMs) ? static_cast<std::int64_t>(firstEventMs) : 0);
     return decision;
 }
 
+/** Returns the refusal of a request that can be placed in `waitMs`, and whose first event takes `firstEventMs` then. */
+Decision refusalUntil(Verdict verdict, const ChoiceContext &choice, double waitMs, double firstEventMs)
+{
+    Decision decision = refusal(verdict, choice, waitMs + firstEventMs);
+    if (decision.retryAfter) {
+        decision.retryAfter
+            = std::max(*decision.retryAfter, Milliseconds(static_cast<std::int64_t>(std::ceil(waitMs))));
+    }
+    return decision;
+}
+
 } // namespace
 
-Decision chooseEngines(const catalogue::EngineModel &engine, const WorkEstimate &work,
-    std::span<const Candidate> candidates, const std::unordered_map<UpstreamKey, PlacementLoad> &loads,
-    const ChoiceParameters &parameters)
+Decision chooseEngines(const catalogue::EngineModel &engine, const WorkEstimate &work, const CallerTime &time,
+    const ResponseTargets &targets, std::span<const Candidate> candidates,
+    const std::unordered_map<UpstreamKey, PlacementLoad> &loads, const ChoiceParameters &parameters)
 {
     static const PlacementLoad idle;
-    ChoiceContext choice{engine, work, parameters, {}, worthOf(work.promptTokens, work.outputTokens),
-        prefillMs(engine, work.promptTokens)};
+    ChoiceContext choice{engine, work, time, targets, parameters, {}, worthOf(work.promptTokens, work.outputTokens),
+        prefillMs(engine, work.promptTokens), static_cast<double>(time.untilFirstEvent(work.decodeMs).count())};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto load = loads.find(candidates[i].key);
         const PlacementLoad &known = load == loads.end() ? idle : load->second;
@@ -324,7 +412,7 @@
     if (choice.engines.empty()) {
         return refusal(Verdict::NoUpstream, choice, std::numeric_limits<double>::infinity());
     }
-    Plan bestPlan;
+    std::optional<Plan> bestPlan;
     for (const std::size_t parts : groupSizes) {
         if (parts > choice.engines.size() || parts > parameters.maxEngines) {
             break;
@@ -333,43 +421,28 @@
         if (parts > 1 && choice.canFitOneEngine() && choice.partMs(parts - 1) < parameters.longPrefillMs / 2) {
             break;
         }
-        if (auto plan = planGroup(choice, parts); plan && plan->cost < bestPlan.cost) {
+        if (auto plan = planGroup(choice, parts); plan && (!bestPlan || isBetter(*plan, *bestPlan))) {
             bestPlan = std::move(*plan);
         }
     }
-    if (bestPlan.members.empty()) {
-        return refusal(Verdict::TooLarge, choice, bestPlan.firstEventMs);
-    }
-    if (bestPlan.firstEventMs >= static_cast<double>(work.timeLeft.count())) {
-        return refusal(Verdict::TooLate, choice, bestPlan.firstEventMs);
+    if (!bestPlan) {
+        return refusalUntil(Verdict::TooLarge, choice, timeUntilMemory(choice),
+            choice.partMs(std::min(choice.engines.size(), parameters.maxEngines)));
     }
-    // Engine time is charged at the worth of the requests that could use it instead.
-    const double gain = work.isAlreadyLate ? parameters.secondRefusalLoss * choice.worth : choice.worth;
-    if (bestPlan.cost + choice.engineTimePrice() * choice.wholePrefillMs > gain) {
-        // The price falls as the backlog is worked off. A caller that returns sooner is refused again.
-        Decision refused = refusal(Verdict::Crowded, choice, bestPlan.firstEventMs);
-        const double wait
-            = std::min(choice.meanBacklogMs(), static_cast<double>(work.timeLeft.count()) * maxRetryDelayShare);
-        refused.retryAfter = std::max(refused.retryAfter, Milliseconds(static_cast<std::int64_t>(wait)));
-        return refused;
+    if (!bestPlan->isInTime) {
+        return refusal(Verdict::TooLate, choice, bestPlan->firstEventMs);
     }
-    // A full fleet that accepts late requests makes all requests late, so callers retry once some responses have ended.
-    const Engine &primaryEngine = choice.engines[bestPlan.members.front()];
-    if (!work.isAlreadyLate && choice.requestsAhead(primaryEngine) > 0
-        && bestPlan.firstEventMs > static_cast<double>(work.targetLeft.count())) {
-        Decision refused = refusal(Verdict::Crowded, choice, bestPlan.firstEventMs);
-        const double decodeMs = work.outputTokens / std::max(engine.stepsPerPass, 1) * choice.passMs(primaryEngine);
-        refused.retryAfter = std::max(refused.retryAfter, Milliseconds(static_cast<std::int64_t>(decodeMs)));
-        return refused;
+    if (bestPlan->lostCallers > 0) {
+        return refusalUntil(Verdict::Crowded, choice, timeUntilIdlePrefill(choice), bestPlan->firstEventMs);
     }
     Decision decision;
     decision.verdict = Verdict::Send;
-    decision.primary = choice.engines[bestPlan.members.front()].candidate->key;
-    for (std::size_t i = 1; i < bestPlan.members.size(); ++i) {
-        decision.helpers.push_back(choice.engines[bestPlan.members[i]].candidate->key);
+    decision.primary = choice.engines[bestPlan->members.front()].candidate->key;
+    for (std::size_t i = 1; i < bestPlan->members.size(); ++i) {
+        decision.helpers.push_back(choice.engines[bestPlan->members[i]].candidate->key);
     }
-    decision.reservedTokensPerHelper = bestPlan.reservedTokensPerHelper;
-    decision.predictedFirstEvent = Milliseconds(static_cast<std::int64_t>(bestPlan.firstEventMs));
+    decision.reservedTokensPerHelper = bestPlan->reservedTokensPerHelper;
+    decision.predictedFirstEvent = Milliseconds(static_cast<std::int64_t>(bestPlan->firstEventMs));
     return decision;
 }
 
--- a/src/placement/internal/chooseservice.cpp
+++ b/src/placement/internal/chooseservice.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr Milliseconds minRetryAfter{100};
-
 /** Price of a full upstream against an idle one, as a share of the service time: servers slow down when nearly full. */
 constexpr double fullUpstreamCost = 0.3;
 
@@ -65,13 +63,12 @@
     }
     if (decision.primary == 0) {
         decision.verdict = Verdict::NoUpstream;
-        decision.retryAfter = minRetryAfter;
         return decision;
     }
     decision.predictedFirstEvent = Milliseconds(static_cast<std::int64_t>(best));
-    if (decision.predictedFirstEvent >= work.timeLeft) {
+    if (decision.predictedFirstEvent >= work.time.untilFirstEvent(0)) {
         decision.verdict = Verdict::TooLate;
-        decision.retryAfter = std::max(minRetryAfter, work.timeLeft / 4);
+        decision.retryAfter = timeUntilServable(work.time, best, 0);
         return decision;
     }
     decision.verdict = Verdict::Send;
--- a/src/placement/internal/placementtable.cpp
+++ b/src/placement/internal/placementtable.cpp
@@ -1,6 +1,7 @@
 // Known placements and the load derived from them.
 #include "placement/placementtable.h"
 
+#include "catalogue/callerbehaviour.h"
 #include "placement/enginecost.h"
 #include "placement/silentowner.h"
 #include "placement/types/workestimate.h"
@@ -35,7 +36,7 @@
 {
     remove(placement.id, now);
     Entry &entry = m_entries[placement.id];
-    entry = Entry{owner, placement, m_prefillCost(placement), {}};
+    entry = Entry{owner, placement, m_prefillCost(placement), expectedDecodeMs(placement), now, {}};
     entry.expected = expectedFirstEvents(entry, now);
     count(placement, 1);
     if (placement.isDecoding) {
@@ -130,6 +131,14 @@
     return expected;
 }
 
+double PlacementTable::expectedDecodeMs(const Placement &placement) const
+{
+    const catalogue::EngineModel *const engine = m_engineOf ? m_engineOf(placement) : nullptr;
+    return engine == nullptr ? 0
+                             : placement.outputTokens / std::max(engine->stepsPerPass, 1)
+            * decodePassMs(*engine, engine->slots / 2, placement.promptTokens);
+}
+
 double PlacementTable::slowdown(UpstreamKey upstream, MonoTime now) const
 {
     return m_speeds.slowdown(upstream, now);
@@ -164,6 +173,7 @@
         dequeue(it->second.placement, now);
         count(it->second.placement, -1);
         it->second.placement.isDecoding = true;
+        it->second.decodingSince = now;
         count(it->second.placement, 1);
         m_speeds.recordFirstEvent(it->second.expected, toMs(now - it->second.placement.placedAt), now);
         it->second.expected.clear();
@@ -265,10 +275,18 @@
         PlacementLoad &primary = loads[it.primary];
         ++primary.requests;
         const double helperTokens = it.reservedTokensPerHelper * static_cast<double>(it.helpers.size());
-        primary.usedKvTokens += std::max(it.promptTokens - helperTokens, 0.0) + it.outputTokens;
+        const double ownTokens = std::max(it.promptTokens - helperTokens, 0.0) + it.outputTokens;
+        const double endsInMs = it.isDecoding ? toMs(entry.decodingSince - now) + entry.decodeMs
+                                              : toMs(it.placedAt - now) + entry.partPrefillMs + entry.decodeMs;
+        primary.usedKvTokens += ownTokens;
+        primary.memoryHolds.push_back({ownTokens, std::max(0.0, endsInMs)});
         for (const UpstreamKey helper : it.helpers) {
-            loads[helper].usedKvTokens += it.reservedTokensPerHelper;
-            loads[helper].helperPrefills += it.isDecoding ? 0 : 1;
+            PlacementLoad &load = loads[helper];
+            load.usedKvTokens += it.reservedTokensPerHelper;
+            load.helperPrefills += it.isDecoding ? 0 : 1;
+            if (it.reservedTokensPerHelper > 0) {
+                load.memoryHolds.push_back({it.reservedTokensPerHelper, std::max(0.0, endsInMs)});
+            }
         }
         if (it.isDecoding) {
             primary.decodingRequests.push_back({it.gapTarget, worthOf(it.promptTokens, it.outputTokens)});
@@ -290,8 +308,11 @@
             }
             const Placement &it = m_entries.at(prefill.id).placement;
             const double dueInMs = toMs(it.placedAt + it.firstEventTarget - now);
-            load.pendingPrefills.push_back(
-                {worthOf(it.promptTokens, it.outputTokens), dueInMs - backlog * slowdownOfEngine, it.gapTarget});
+            // Of the target only what was left at the placement is known, so that the caller stays at least this long.
+            const Milliseconds patience = catalogue::streamPatience(it.firstEventTarget, it.gapTarget);
+            const double leavesInMs = toMs(it.placedAt + patience - now);
+            load.pendingPrefills.push_back({worthOf(it.promptTokens, it.outputTokens),
+                dueInMs - backlog * slowdownOfEngine, leavesInMs - backlog * slowdownOfEngine, it.gapTarget});
         }
         load.backlogMs = backlog;
     }
--- a/src/placement/placementtable.h
+++ b/src/placement/placementtable.h
@@ -30,16 +30,27 @@
         double worth = 0;
         /** Time by which its prefill may be delayed and still meet the target; negative if already late. */
         double slackMs = 0;
+        /** Time by which its prefill may be delayed before its caller leaves; negative if the caller leaves anyway. */
+        double patienceMs = 0;
         /** Target for the longest gap between its events once it decodes. */
         Milliseconds gapTarget{0};
     };
 
+    /** Memory that a request holds here. */
+    struct MemoryHold
+    {
+        double tokens = 0;
+        /** Time until its response is expected to end, at the published speed. */
+        double endsInMs = 0;
+    };
+
     /** Requests with this upstream as primary, in prefill or decode. */
     int requests = 0;
     /** Prompt parts to prefill for other engines. */
     int helperPrefills = 0;
     std::vector<DecodingRequest> decodingRequests;
     std::vector<PendingPrefill> pendingPrefills;
+    std::vector<MemoryHold> memoryHolds;
     double decodeContextTokens = 0;
     double usedKvTokens = 0;
     /** Milliseconds of prefill at the published speed that the parts for other engines need. */
@@ -93,6 +104,10 @@
         std::string owner;
         Placement placement;
         double partPrefillMs = 0;
+        /** Estimated time from the first event to the last; 0 if the engine's model is unknown. */
+        double decodeMs = 0;
+        /** Time of the first event, or from which this instance knows of it. */
+        MonoTime decodingSince{};
         /** Times to the first event by engine, without helpers first the primary; empty if not to be measured. */
         std::vector<ExpectedFirstEvent> expected;
     };
@@ -121,6 +136,7 @@
     void advance(UpstreamKey upstream, PrefillQueue &queue, MonoTime now) const;
     void count(const Placement &placement, int change);
     [[nodiscard]] std::vector<ExpectedFirstEvent> expectedFirstEvents(const Entry &entry, MonoTime now);
+    [[nodiscard]] double expectedDecodeMs(const Placement &placement) const;
 
     PrefillCost m_prefillCost;
     EngineOf m_engineOf;
--- a/src/placement/types/decision.h
+++ b/src/placement/types/decision.h
@@ -5,6 +5,7 @@
 #include "placement/types/placement.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -19,7 +20,7 @@
     Paused,
     /** The request cannot be answered before its deadline. */
     TooLate,
-    /** The request would be late on a full fleet, or would cost other requests more than it is worth. */
+    /** The request could be answered in time only at the expense of callers who were there before. */
     Crowded,
     /** The request needs more memory than is free on the upstreams. */
     TooLarge,
@@ -53,8 +54,11 @@
     double reservedTokensPerHelper = 0;
     /** Predicted time from now to the first event. */
     Milliseconds predictedFirstEvent{0};
-    /** Earliest useful retry delay; set for refusals. */
-    Milliseconds retryAfter{0};
+    /**
+     * Time after which the cause of a refusal is expected to end; empty if the caller then has too little time for the
+     * work, or if no end is known.
+     */
+    std::optional<Milliseconds> retryAfter;
 };
 
 } // namespace magnolia::placement
--- a/src/placement/types/workestimate.h
+++ b/src/placement/types/workestimate.h
@@ -1,4 +1,4 @@
-// Estimated work and time limits of a request before it runs.
+// Work that is left of a request, and how soon its operator wants it done.
 #pragma once
 
 #include "framework/global/types/time.h"
@@ -8,16 +8,24 @@
 
 struct WorkEstimate
 {
+    /** Tokens to prefill. */
     double promptTokens = 0;
+    /** Tokens to write. */
     double outputTokens = 0;
+    /** Estimated time in milliseconds from the first event to the last. */
+    double decodeMs = 0;
+};
+
+/**
+ * How fast the operator wants the responses of a route. It helps to choose among engines that all serve the caller in
+ * time; whether a request is served does not depend on it.
+ */
+struct ResponseTargets
+{
     /** Time left until the target for the first event. */
-    Milliseconds targetLeft{1000};
-    /** Time left until a first event is no longer useful to the caller. */
-    Milliseconds timeLeft{10'000};
-    /** The caller was refused before or has waited too long; the request is served late rather than refused again. */
-    bool isAlreadyLate = false;
+    Milliseconds firstEvent{1000};
     /** Target for the longest gap between two events. */
-    Milliseconds gapTarget{1000};
+    Milliseconds gap{1000};
 };
 
 /** Returns the worth of a response in thousands of tokens; output tokens count ten times. */
