Placement: all callers count alike in the choice of engines

Callers saw: four streams were allowed pauses beyond their target for the sake of one long prompt, whose credit was ten times as high.

Cause: losses were weighed by the published credit of an answer (tokens in + ten times tokens out, a quarter when late).

The cost of a group is the number of requests that are expected to miss a target, each counting 1; the rate of arrivals follows from the requests that are there and the time of their output (Little), in place of a typical 2 s.

--- a/src/placement/chooseengines.h
+++ b/src/placement/chooseengines.h
@@ -8,8 +8,9 @@
 //
 // Short prefills fill the engines from the start of a shared order and long prefills from its end, so the boundary
 // between them follows the load without being configured or communicated. A long prompt is split over as many engines
-// as its target requires. The cost of a group of engines is the worth lost by callers: by this request if it is late,
-// and by requests decoding there if a gap between their events exceeds the target.
+// as its target requires. The cost of a group of engines is the number of requests that are expected to miss a target:
+// this one if it is late, and those decoding there if a gap between their events exceeds the target. All callers count
+// alike, whatever the size of their prompt is.
 #pragma once
 
 #include "catalogue/types/enginemodel.h"
@@ -31,13 +32,11 @@
     double longPrefillMs = 150;
     /** Share of the target above which a predicted time risks being late. */
     double safeTargetShare = 0.6;
-    /** Share of its worth that a late response loses; the published tables credit it with about a quarter. */
-    double lateLoss = 0.75;
     /** Share of the slots up to which short prefills fill an engine before the next one is used. */
     double fillShare = 0.75;
-    /** Cost of each step along the shared order, as a share of the request's worth. */
+    /** Cost of each step along the shared order, as a part of a missed target. */
     double orderCost = 0.002;
-    /** Cost of each additional engine for a prefill, as a share of the request's worth. */
+    /** Cost of each additional engine for a prefill, as a part of a missed target. */
     double helperCost = 0.004;
     /** Factor by which concurrent decode steps lengthen a prefill. */
     double prefillOverheadFactor = 1.1;
@@ -47,8 +46,6 @@
     std::size_t maxEngines = 16;
     /** Share of the engines that one prompt may take without a cost for requests that arrive meanwhile. */
     double freeGroupShare = 0.5;
-    /** Typical time of a response; converts the worth of current requests to a rate of arrival. */
-    double typicalResponseMs = 2000;
 };
 
 /**
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -52,7 +52,6 @@
     const ResponseTargets &targets;
     const ChoiceParameters &parameters;
     std::vector<Engine> engines;
-    double worth = 0;
     double wholePrefillMs = 0;
     /** Time left for the first event, in milliseconds. */
     double firstEventLimitMs = 0;
@@ -71,7 +70,8 @@
 
     [[nodiscard]] int lostCallers(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] double lossOfOthers(const Engine &it, double part, bool isHelper) const;
-    [[nodiscard]] double latenessLoss(double predictedMs) const;
+    [[nodiscard]] double lateness(double predictedMs) const;
+    [[nodiscard]] double meanResponseMs() const;
     [[nodiscard]] double firstEventMs(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] int requestsAhead(const Engine &it) const;
     [[nodiscard]] double occupancyLoss(std::size_t parts, double part) const;
@@ -104,8 +104,8 @@
 }
 
 /**
- * Returns the worth that other requests lose: streams that decode there, or will when this prompt is prefilled, by the
- * longer gap, and own prompts of the engine that a helper part delays.
+ * Returns how many other requests are expected to miss a target: streams that decode there, or will when this prompt is
+ * prefilled, by the longer gap, and own prompts of the engine that a helper part delays.
  */
 double ChoiceContext::lossOfOthers(const Engine &it, double part, bool isHelper) const
 {
@@ -116,27 +116,39 @@
         const double targetGap = static_cast<double>(pending.gapTarget.count());
         if (isHelper) {
             // The less slack a prompt has, the more likely this part makes it late.
-            loss += pending.slackMs > 0
-                ? pending.worth * parameters.lateLoss * std::min(1.0, part * it.candidate->slowdown / pending.slackMs)
-                : 0;
+            loss += pending.slackMs > 0 ? std::min(1.0, part * it.candidate->slowdown / pending.slackMs) : 0;
         } else if (targetGap > 0
             && pass + std::min(part, maxInPass) * it.candidate->slowdown > targetGap * riskyGapShare) {
-            loss += pending.worth * parameters.lateLoss;
+            loss += 1;
         }
     }
     const double predictedGap = pass + std::min(it.load->backlogMs + part, maxInPass) * it.candidate->slowdown;
     for (const PlacementLoad::DecodingRequest &decoding : it.load->decodingRequests) {
         const double targetGap = static_cast<double>(decoding.gapTarget.count());
         if (targetGap > 0 && predictedGap > targetGap * riskyGapShare) {
-            loss += decoding.worth * parameters.lateLoss;
+            loss += 1;
         }
     }
     return loss;
 }
 
+/** Returns the mean time for which the current requests have a slot, by their output. */
+double ChoiceContext::meanResponseMs() const
+{
+    double outputTokens = 0;
+    double requests = 0;
+    for (const Engine &it : engines) {
+        outputTokens += it.load->outputTokens;
+        requests += it.load->requests;
+    }
+    const double passes = outputTokens / std::max(1.0, requests) / std::max(engine.stepsPerPass, 1);
+    return std::max(1.0, passes) * decodePassMs(engine, engine.slots / 2, 0);
+}
+
 /**
- * Returns the worth lost by requests that arrive during the prefill and find the engines taken. Their rate is estimated
- * from the current requests and the typical time of a response. A group that leaves enough engines free costs nothing.
+ * Returns how many requests that arrive during the prefill are expected to find the engines taken and to miss their
+ * target. Their rate follows from the current requests and their mean response time (Little, 1961). A group that leaves
+ * enough engines free costs nothing.
  */
 double ChoiceContext::occupancyLoss(std::size_t parts, double part) const
 {
@@ -145,26 +157,24 @@
     if (takenShare <= parameters.freeGroupShare) {
         return 0;
     }
-    double currentWorth = 0;
+    double current = 0;
     for (const Engine &it : engines) {
-        for (const PlacementLoad::DecodingRequest &decoding : it.load->decodingRequests) {
-            currentWorth += decoding.worth;
-        }
+        current += static_cast<double>(it.load->decodingRequests.size());
         for (const PlacementLoad::PendingPrefill &pending : it.load->pendingPrefills) {
-            currentWorth += pending.slackMs < part ? pending.worth : 0;
+            current += pending.slackMs < part ? 1 : 0;
         }
     }
-    const double arrivingWorth = currentWorth * part / parameters.typicalResponseMs;
-    return parameters.lateLoss * arrivingWorth * (takenShare - parameters.freeGroupShare)
-        / (1 - parameters.freeGroupShare);
+    const double arriving = current * part / meanResponseMs();
+    return arriving * (takenShare - parameters.freeGroupShare) / (1 - parameters.freeGroupShare);
 }
 
-double ChoiceContext::latenessLoss(double predictedMs) const
+/** Returns how far the request is expected to miss its target: 1 at the target, 2 if its caller leaves before. */
+double ChoiceContext::lateness(double predictedMs) const
 {
     const double target = std::max<double>(1, static_cast<double>(targets.firstEvent.count()));
     const double left = firstEventLimitMs;
     if (predictedMs >= left) {
-        return 1;
+        return 2;
     }
     const double share = predictedMs / target;
     if (share <= parameters.safeTargetShare) {
@@ -172,12 +182,9 @@
     }
     if (share < 1) {
         constexpr double uncertain = 0.3;
-        return parameters.lateLoss * uncertain * (share - parameters.safeTargetShare)
-            / (1 - parameters.safeTargetShare);
+        return uncertain * (share - parameters.safeTargetShare) / (1 - parameters.safeTargetShare);
     }
-    // The later the response, the less likely it is of any use.
-    return parameters.lateLoss
-        + (1 - parameters.lateLoss) * std::min(1.0, (predictedMs - target) / std::max(left - target, 1.0));
+    return 1 + std::min(1.0, (predictedMs - target) / std::max(left - target, 1.0));
 }
 
 double ChoiceContext::firstEventMs(const Engine &it, double part, bool isHelper) const
@@ -216,7 +223,7 @@
         // Above the share, the cost equals a few steps along the order and grows with each request.
         cost += (filled - parameters.fillShare) * parameters.orderCost * static_cast<double>(engines.size()) * 4;
     }
-    return cost * worth;
+    return cost;
 }
 
 bool ChoiceContext::hasMemoryFor(const Engine &it, double tokens) const
@@ -249,14 +256,14 @@
 {
     const Engine &it = choice.engines[index];
     const double firstEventMs = choice.firstEventMs(it, part, isHelper);
-    const double late = choice.latenessLoss(firstEventMs) * choice.worth;
     // Among engines that would all be on time, prefers the one that is free first.
     const double wait = it.load->backlogMs * it.candidate->slowdown
         / std::max<double>(1, static_cast<double>(choice.targets.firstEvent.count()));
     constexpr double waitCost = 0.1;
     const int ownLoss = firstEventMs >= choice.firstEventLimitMs ? 1 : 0;
     return {index, ownLoss + choice.lostCallers(it, part, isHelper),
-        choice.lossOfOthers(it, part, isHelper) + late + choice.orderCost(it, part) + waitCost * choice.worth * wait};
+        choice.lossOfOthers(it, part, isHelper) + choice.lateness(firstEventMs) + choice.orderCost(it, part)
+            + waitCost * wait};
 }
 
 /** Plans a group of `parts` engines: the best primary with enough memory, and the best helpers. */
@@ -297,7 +304,7 @@
     plan.firstEventMs = choice.firstEventMs(primaryEngine, part, false);
     plan.lostCallers = choice.lostCallers(primaryEngine, part, false);
     plan.cost = choice.lossOfOthers(primaryEngine, part, false) + choice.orderCost(primaryEngine, part)
-        + choice.parameters.helperCost * static_cast<double>(parts - 1) * choice.worth;
+        + choice.parameters.helperCost * static_cast<double>(parts - 1);
     for (std::size_t i = 0; i + 1 < parts; ++i) {
         const Engine &it = choice.engines[helpers[i].index];
         plan.members.push_back(helpers[i].index);
@@ -305,7 +312,7 @@
         plan.lostCallers += choice.lostCallers(it, part, true);
         plan.cost += choice.lossOfOthers(it, part, true) + choice.orderCost(it, part) / static_cast<double>(parts);
     }
-    plan.cost += choice.latenessLoss(plan.firstEventMs) * choice.worth + choice.occupancyLoss(parts, part);
+    plan.cost += choice.lateness(plan.firstEventMs) + choice.occupancyLoss(parts, part);
     plan.isInTime = plan.firstEventMs < choice.firstEventLimitMs;
     return plan;
 }
@@ -399,8 +406,8 @@
     const std::unordered_map<UpstreamKey, PlacementLoad> &loads, const ChoiceParameters &parameters)
 {
     static const PlacementLoad idle;
-    ChoiceContext choice{engine, work, time, targets, parameters, {}, worthOf(work.promptTokens, work.outputTokens),
-        prefillMs(engine, work.promptTokens), static_cast<double>(time.untilFirstEvent(work.decodeMs).count())};
+    ChoiceContext choice{engine, work, time, targets, parameters, {}, prefillMs(engine, work.promptTokens),
+        static_cast<double>(time.untilFirstEvent(work.decodeMs).count())};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto load = loads.find(candidates[i].key);
         const PlacementLoad &known = load == loads.end() ? idle : load->second;
--- a/src/placement/internal/placementtable.cpp
+++ b/src/placement/internal/placementtable.cpp
@@ -4,7 +4,6 @@
 #include "catalogue/callerbehaviour.h"
 #include "placement/enginecost.h"
 #include "placement/silentowner.h"
-#include "placement/types/workestimate.h"
 
 #include <algorithm>
 
@@ -279,6 +278,7 @@
         const double endsInMs = it.isDecoding ? toMs(entry.decodingSince - now) + entry.decodeMs
                                               : toMs(it.placedAt - now) + entry.partPrefillMs + entry.decodeMs;
         primary.usedKvTokens += ownTokens;
+        primary.outputTokens += it.outputTokens;
         primary.memoryHolds.push_back({ownTokens, std::max(0.0, endsInMs)});
         for (const UpstreamKey helper : it.helpers) {
             PlacementLoad &load = loads[helper];
@@ -289,7 +289,7 @@
             }
         }
         if (it.isDecoding) {
-            primary.decodingRequests.push_back({it.gapTarget, worthOf(it.promptTokens, it.outputTokens)});
+            primary.decodingRequests.push_back({it.gapTarget});
             primary.decodeContextTokens += it.promptTokens;
         }
     }
@@ -311,8 +311,8 @@
             // Of the target only what was left at the placement is known, so that the caller stays at least this long.
             const Milliseconds patience = catalogue::streamPatience(it.firstEventTarget, it.gapTarget);
             const double leavesInMs = toMs(it.placedAt + patience - now);
-            load.pendingPrefills.push_back({worthOf(it.promptTokens, it.outputTokens),
-                dueInMs - backlog * slowdownOfEngine, leavesInMs - backlog * slowdownOfEngine, it.gapTarget});
+            load.pendingPrefills.push_back(
+                {dueInMs - backlog * slowdownOfEngine, leavesInMs - backlog * slowdownOfEngine, it.gapTarget});
         }
         load.backlogMs = backlog;
     }
--- a/src/placement/placementtable.h
+++ b/src/placement/placementtable.h
@@ -22,12 +22,10 @@
     struct DecodingRequest
     {
         Milliseconds gapTarget{0};
-        double worth = 0;
     };
     /** A prompt of the upstream itself that waits for prefill or is in prefill. */
     struct PendingPrefill
     {
-        double worth = 0;
         /** Time by which its prefill may be delayed and still meet the target; negative if already late. */
         double slackMs = 0;
         /** Time by which its prefill may be delayed before its caller leaves; negative if the caller leaves anyway. */
@@ -52,6 +50,8 @@
     std::vector<PendingPrefill> pendingPrefills;
     std::vector<MemoryHold> memoryHolds;
     double decodeContextTokens = 0;
+    /** Output of all requests with this upstream as primary. */
+    double outputTokens = 0;
     double usedKvTokens = 0;
     /** Milliseconds of prefill at the published speed that the parts for other engines need. */
     double helperBacklogMs = 0;
--- a/src/placement/types/workestimate.h
+++ b/src/placement/types/workestimate.h
@@ -28,12 +28,4 @@
     Milliseconds gap{1000};
 };
 
-/** Returns the worth of a response in thousands of tokens; output tokens count ten times. */
-[[nodiscard]] inline double worthOf(double promptTokens, double outputTokens)
-{
-    // Published credit rule: input tokens + 10 x output tokens.
-    constexpr double outputWeight = 10;
-    return (promptTokens + outputWeight * outputTokens) / 1000.0;
-}
-
 } // namespace magnolia::placement
