Gateway: Retry-After names when the cause of a refusal ends

Callers saw: refused for want of a retry, beside an idle upstream, they were told to come back after the latency target of their route (3.1 s for a target of 3 s). The same held for failed attempts, a partition, relays and memory that others hold, whatever their cause.

Cause: these refusals used the latency target, or half of it, as a delay.

Evidence: "a caller who is refused for want of a retry ..." failed before (3.088 < 0.5).

The caller's next attempt needs no retry budget, so that it may return when a request can be placed, as the choice tells. Where the end is not known (no upstream, partition) the outage is expected to last as long again as it has lasted, within what callers honour. A quarantine or a missing destination that outlasts the caller's time names none.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -157,7 +157,8 @@
     m_traits = requestTraits(m_head, m_fingerprint, names, m_organisation);
     const catalogue::Destination *destination = catalogue::chooseDestination(m_route, m_requestId);
     if (destination == nullptr) {
-        respondWithError(503, "no_destination", m_route.latencyTarget);
+        // Until the next configuration.
+        giveUp("no_destination", std::nullopt);
         return;
     }
     m_service = destination->service;
@@ -340,6 +341,36 @@
     return placement::chooseServiceUpstream(work, candidates, loads);
 }
 
+Milliseconds Exchange::outageRetryAfter()
+{
+    const MonoTime now = m_context.loop.now();
+    const auto withoutUpstream = m_context.withoutUpstreamSince.find(m_service);
+    const MonoTime since = m_context.path->detector().partitionedSince().value_or(
+        withoutUpstream == m_context.withoutUpstreamSince.end() ? now : withoutUpstream->second);
+    return limits::outageRetryAfter(toMilliseconds(now - since), callerTime().untilDeadline, m_context.random);
+}
+
+std::optional<Milliseconds> Exchange::timeUntilPlaceable()
+{
+    std::vector<placement::UpstreamKey> usable;
+    const placement::Decision decision = choosePlacement(m_service, usable);
+    if (decision.verdict == placement::Verdict::Send) {
+        return Milliseconds{0};
+    }
+    return decision.verdict == placement::Verdict::NoUpstream ? outageRetryAfter() : decision.retryAfter;
+}
+
+std::optional<Milliseconds> Exchange::timeUntilMemory() const
+{
+    // Other prompts that need several engines hold the memory. On average half of their time has passed.
+    const catalogue::EngineModel *const engine = engineOf(m_service);
+    const double decode = engine == nullptr ? 0 : decodeMs(*engine);
+    const auto firstEvent = static_cast<double>(m_decision.predictedFirstEvent.count());
+    const double wait = (firstEvent + decode) / 2;
+    const auto servable = placement::timeUntilServable(callerTime(), wait + firstEvent, decode);
+    return servable ? std::optional(std::max(*servable, Milliseconds(static_cast<std::int64_t>(wait)))) : std::nullopt;
+}
+
 Milliseconds Exchange::availableTime() const
 {
     // A response that has begun uses its full remaining time.
@@ -365,7 +396,9 @@
     if (!quarantine) {
         return false;
     }
-    giveUp("quarantined", std::max(minQuarantineRetryAfter, toMilliseconds(quarantine->until - m_context.loop.now())));
+    const Milliseconds rest
+        = std::max(minQuarantineRetryAfter, toMilliseconds(quarantine->until - m_context.loop.now()));
+    giveUp("quarantined", rest < callerTime().untilDeadline ? std::optional(rest) : std::nullopt);
     return true;
 }
 
@@ -393,7 +426,7 @@
     }
     if (m_context.path->detector().isPartitioned()) {
         // What was sent now could not arrive, but would no longer be certain not to have run.
-        giveUp("partitioned", m_route.latencyTarget);
+        giveUp("partitioned", outageRetryAfter());
         return;
     }
     std::vector<placement::UpstreamKey> usable;
@@ -413,9 +446,8 @@
         }
     }
     if (decision.verdict == placement::Verdict::NoUpstream) {
-        const auto since = m_context.withoutUpstreamSince.try_emplace(m_service, m_context.loop.now()).first->second;
-        decision.retryAfter = limits::outageRetryAfter(
-            toMilliseconds(m_context.loop.now() - since), callerTime().untilDeadline, m_context.random);
+        m_context.withoutUpstreamSince.try_emplace(m_service, m_context.loop.now());
+        decision.retryAfter = outageRetryAfter();
     } else {
         m_context.withoutUpstreamSince.erase(m_service);
     }
@@ -593,7 +625,7 @@
             return;
         }
         // Other instances hold memory that looked free here. The request is refused instead of trying other engines.
-        self->giveUp("memory_not_held", self->m_route.latencyTarget / 2);
+        self->giveUp("memory_not_held", self->timeUntilMemory());
     });
 }
 
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -121,6 +121,12 @@
      * is not known, or too late for this caller.
      */
     void giveUp(std::string_view reason, std::optional<Milliseconds> retryAfter);
+    /** Returns when to come back while no upstream can be used, or none can be reached. */
+    [[nodiscard]] Milliseconds outageRetryAfter();
+    /** Returns the time until a new attempt of the caller can be placed; empty if it is too late for this caller. */
+    [[nodiscard]] std::optional<Milliseconds> timeUntilPlaceable();
+    /** Returns the time until memory that others hold is expected to be free; empty if it is too late. */
+    [[nodiscard]] std::optional<Milliseconds> timeUntilMemory() const;
     /** Returns a delay from `retryAfter` on, so that callers who are refused together do not return together. */
     [[nodiscard]] Milliseconds spreadRetryAfter(Milliseconds retryAfter);
     void onFullResponse();
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -137,12 +137,13 @@
 {
     const std::string reasonText(reason);
     if (!canRetry()) {
-        giveUp(reasonText, m_route.latencyTarget);
+        giveUp(reasonText, timeUntilPlaceable());
         return;
     }
     if (!limits::takeRetry(m_context.retryBudgets.of(m_service))) {
         m_context.metrics.increment("magnolia_gateway_retries_withheld_total");
-        giveUp("retry_budget", m_route.latencyTarget);
+        // The budget does not count attempts of callers.
+        giveUp("retry_budget", timeUntilPlaceable());
         return;
     }
     place();
@@ -151,7 +152,7 @@
 void Exchange::retryUnsent(std::string_view reason)
 {
     if (!mayRelay() && !canRetry()) {
-        giveUp(reason, m_route.latencyTarget);
+        giveUp(reason, timeUntilPlaceable());
         return;
     }
     place();
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -167,14 +167,14 @@
                 {"reason", std::string_view(reason)}});
         const double seconds = readNumber(m_upstreamHead.fields.value(m_context.settings.names.retryAfter));
         const auto retryAfter = Milliseconds(static_cast<std::int64_t>(std::min(seconds, 1e6) * 1000));
-        if (isFinalRefusal(reason) && retryAfter > Milliseconds{0} && !m_hasResponseBegun
-            && m_attempts.hasCertainlyNotRun()) {
-            // The peer has chosen the time by its load.
-            respondWithError(refusedStatus, reason, retryAfter);
+        if (isFinalRefusal(reason) && !m_hasResponseBegun && m_attempts.hasCertainlyNotRun()) {
+            // The peer has chosen the time by its load, and names none if the caller has too little left.
+            respondWithError(
+                refusedStatus, reason, retryAfter > Milliseconds{0} ? std::optional(retryAfter) : std::nullopt);
             return;
         }
         if (isFinalRefusal(reason) || !mayRelay()) {
-            giveUp(reason, m_route.latencyTarget);
+            giveUp(reason, outageRetryAfter());
             return;
         }
         m_isRelaying = false;
--- a/src/gateway/tests/callertimetests.cpp
+++ b/src/gateway/tests/callertimetests.cpp
@@ -160,3 +160,22 @@
     CHECK_FALSE(fixture.response.head.fields.has("Retry-After"));
     CHECK(fixture.upstreams.front()->requests.empty());
 }
+
+TEST_CASE("a caller who is refused for want of a retry comes back at once if another upstream is free")
+{
+    // The retry budget does not count requests of callers, so that the caller gains nothing by waiting.
+    GatewayFixture fixture;
+    for (int i = 0; i < 2; ++i) {
+        fixture.addUpstream("service", [](Connection &connection, const std::string &request, int /*number*/) {
+            connection.send(plainResponse(request, 503, "", "Not-Executed: 1\r\n"));
+        });
+    }
+    limits::RetryBudget &budget = fixture.context.retryBudgets.of("service");
+    budget.ratio = 0;
+    budget.balance = 0;
+    catalogue::Route route = fixture.makeRoute(RouteKind::Idempotent);
+    route.latencyTarget = Milliseconds(3000);
+    fixture.runRequest(route);
+    CHECK(fixture.response.head.status == 503);
+    CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) < 0.5);
+}
