Gateway: a silent attempt is moved while the next upstream can still answer

Callers saw: with a latency target of 3 s and a deadline of 4 s a request stayed at a silent upstream until it failed with 504, beside an idle one.

Cause: the time was 0.65 of a stream's patience, or four latency targets for plain requests, without regard to the caller's deadline.

Evidence: "a silent request is moved ..." failed before for both kinds (504 == 200).

The attempts that are left have equal parts of the time in which the caller needs the next event. An attempt that has not had twice its predicted time is left alone.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -141,6 +141,11 @@
     void forwardResponse();
     void onTimeout();
     void checkSilence();
+    /**
+     * Returns the silence after which the current attempt ends even if its upstream is reachable. The attempts that are
+     * left have equal parts of the time in which the caller needs the next event.
+     */
+    [[nodiscard]] Milliseconds timeOfAttempt() const;
     /** Whether attempt number `attempt` goes on and its upstream has sent nothing for some time. */
     [[nodiscard]] bool isStillSilent(std::uint64_t attempt) const;
     void onReachabilityProbed(std::uint64_t attempt, Reachability reachability);
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -28,11 +28,9 @@
 constexpr Milliseconds silenceCheckInterval{150};
 /** Minimum silence before the upstream is probed with a new connection; twice the expected time if that is longer. */
 constexpr Milliseconds minSilenceBeforeProbe{500};
-/** Connections to upstreams have a price, so a request does not probe its upstream again within this time. */
+/** A new connection may hold a slot of the upstream, so a request does not probe its upstream again within this time.
+ */
 constexpr Milliseconds minProbeInterval{1000};
-/** Share of the caller's wait limit after which a silent stream is moved to another upstream, even if its upstream is
- * reachable. */
-constexpr double switchAfterShare = 0.65;
 /** An upstream does not begin with a request sooner after it was sent than this. */
 constexpr Milliseconds minBeginningTime{5};
 /** The first event does not come sooner than this share of its predicted time. */
@@ -290,13 +288,9 @@
         return;
     }
     const bool isDecoding = m_isStreaming && m_forwardedEvents > 0;
-    const Milliseconds toleratedGap = isDecoding ? 2 * m_route.gapTarget
-        : isStream()                             ? 2 * m_decision.predictedFirstEvent
-                                                 : 2 * m_route.latencyTarget;
+    const Milliseconds toleratedGap = 2 * (isDecoding ? m_route.gapTarget : m_decision.predictedFirstEvent);
     const Milliseconds probeAfter = std::max(minSilenceBeforeProbe, toleratedGap);
-    const Milliseconds switchAfter = isStream()
-        ? Milliseconds(static_cast<std::int64_t>(static_cast<double>(waitLimit().count()) * switchAfterShare))
-        : std::max(minSilenceBeforeProbe, 4 * m_route.latencyTarget);
+    const Milliseconds switchAfter = std::max(probeAfter, timeOfAttempt());
     // A peer to which the request was relayed moves a silent attempt itself.
     if (silence > switchAfter && !isRelaying() && canSwitchUpstream()) {
         m_upstreamCall->cancel();
@@ -319,6 +313,15 @@
     }
 }
 
+Milliseconds Exchange::timeOfAttempt() const
+{
+    const catalogue::EngineModel *const engine = engineOf(m_service);
+    const Milliseconds untilFirstEvent = callerTime().untilFirstEvent(engine == nullptr ? 0 : decodeMs(*engine));
+    const Milliseconds silence = toMilliseconds(m_context.loop.now() - m_lastProgressAt);
+    const int laterAttempts = std::max(1, maxAttempts() - static_cast<int>(m_attempts.possiblyRunOn().size()));
+    return (silence + untilFirstEvent) / (1 + laterAttempts);
+}
+
 bool Exchange::isStillSilent(std::uint64_t attempt) const
 {
     return !m_isDone && m_upstreamCall && attempt == m_attemptNumber
--- a/src/gateway/tests/callertimetests.cpp
+++ b/src/gateway/tests/callertimetests.cpp
@@ -179,3 +179,27 @@
     CHECK(fixture.response.head.status == 503);
     CHECK(std::stod(std::string(fixture.response.head.fields.value("Retry-After"))) < 0.5);
 }
+
+TEST_CASE("a silent request is moved while another upstream can still answer in time, whatever the latency target is")
+{
+    const RouteKind kind = GENERATE(RouteKind::Idempotent, RouteKind::Stream);
+    GatewayFixture fixture;
+    int requestCount = 0;
+    const auto script = [&](Connection &connection, const std::string &request, int number) {
+        if (++requestCount == 1) {
+            return;
+        }
+        if (kind == RouteKind::Stream) {
+            respondWithStream(connection, request, number);
+        } else {
+            connection.send(plainResponse(request, 200, "ok"));
+        }
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    catalogue::Route route = fixture.makeRoute(kind);
+    route.latencyTarget = Milliseconds(3000);
+    fixture.runRequest(route);
+    CHECK(requestCount == 2);
+    CHECK(fixture.response.head.status == 200);
+}
