Gateway: without a configuration a request is held for as long as its caller would wait after a refusal

Callers saw: while all instances restarted, a request was refused after an eighth of its deadline and used up the caller's only retry.

A refused caller waits up to a third of the time that it has left for another attempt; being held for as long costs it no more. Since it is not known whether the response is a stream, its time counts for at most the least patience of streams.

--- a/src/gateway/internal/startupadmission.h
+++ b/src/gateway/internal/startupadmission.h
@@ -55,7 +55,7 @@
 
 /**
  * Returns what to do with the request now. It is asked again when the time of Hold has passed; together the request is
- * held for at most an eighth of its deadline.
+ * held for at most a third of the time for which its caller surely waits after it has been read.
  */
 [[nodiscard]] StartupDecision decideAtStartup(const StartupRequest &request, Random &random);
 
