Gateway: strict admission of a stop begins when directory answers have expired

Cause: it began after a third of the stop, by the time up to which a rule of the platform counts callers.

Callers use an answer of the directory that names this instance until its time to live has passed; those are admitted by the estimate of their output. Later ones have to end before the process even with all output that they permit. Whether another instance can serve a refused caller is still judged by the estimate, so that it is told to come back at once.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -112,16 +112,15 @@
     return known != m_catalogue->services.end() && known->second.engine ? &*known->second.engine : nullptr;
 }
 
+double Exchange::decodeMs(const catalogue::EngineModel &engine, double outputTokens) const
+{
+    return placement::remainingOutputTokens(engine, outputTokens, receivedEvents(engine))
+        / std::max(engine.stepsPerPass, 1) * placement::decodePassMs(engine, engine.slots / 2, m_promptTokens);
+}
+
 double Exchange::decodeMs(const catalogue::EngineModel &engine) const
 {
-    const bool isStrictAdmission
-        = m_context.stopDeadline && m_context.loop.now() >= m_context.strictAdmissionFrom && !m_hasResponseBegun;
-    const std::uint64_t events = receivedEvents(engine);
-    const double tokens = isStrictAdmission
-        ? placement::remainingOutputTokens(engine, m_maxOutputTokens, events) * maxDecodeSlowdown
-        : placement::remainingOutputTokens(engine, m_outputTokens, events);
-    return tokens / std::max(engine.stepsPerPass, 1)
-        * placement::decodePassMs(engine, engine.slots / 2, m_promptTokens);
+    return decodeMs(engine, m_outputTokens);
 }
 
 int Exchange::enginePriority() const
@@ -377,7 +376,15 @@
     if (!m_context.stopDeadline || m_hasResponseBegun) {
         return remainingTime();
     }
-    return std::min(remainingTime(), toMilliseconds(*m_context.stopDeadline - stopMargin - m_context.loop.now()));
+    const MonoTime now = m_context.loop.now();
+    Milliseconds untilStop = toMilliseconds(*m_context.stopDeadline - stopMargin - now);
+    if (const catalogue::EngineModel *const engine = engineOf(m_service);
+        engine != nullptr && now >= m_context.strictAdmissionFrom) {
+        // The response must end before the process even with its maximum output on a busy engine.
+        untilStop -= Milliseconds(
+            static_cast<std::int64_t>(decodeMs(*engine, m_maxOutputTokens) * maxDecodeSlowdown - decodeMs(*engine)));
+    }
+    return std::min(remainingTime(), untilStop);
 }
 
 std::vector<std::string> Exchange::helperIds(const placement::Decision &decision) const
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -156,7 +156,9 @@
     [[nodiscard]] placement::CallerTime callerTime() const;
     /** Returns the model of the engines of a service; null if it is a plain service. */
     [[nodiscard]] const catalogue::EngineModel *engineOf(const std::string &service) const;
-    /** Returns the estimated time in milliseconds from the first event that is still to come to the last. */
+    /** Returns the time in milliseconds from the first event that is still to come to the last. */
+    [[nodiscard]] double decodeMs(const catalogue::EngineModel &engine, double outputTokens) const;
+    /** The same for the estimated output. */
     [[nodiscard]] double decodeMs(const catalogue::EngineModel &engine) const;
     [[nodiscard]] int enginePriority() const;
     [[nodiscard]] Milliseconds elapsed() const;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -35,10 +35,6 @@
 
 /** Interval at which a stopping instance checks whether it may end. */
 constexpr Milliseconds stopCheckInterval{100};
-/** Share of the stop grace period before strict admission. The platform allows for callers that arrive up to 3 s into a
- * stop of 8 s; a third of the time leaves a margin for clock differences. */
-constexpr int strictAdmissionNumerator = 1;
-constexpr int strictAdmissionDenominator = 3;
 /** Serving ends at least this long before the stop deadline, so that the last bytes are sent. */
 constexpr Milliseconds finalFlushTime{350};
 /** Interval at which store entries that were removed, perhaps only for a moment, are checked for expiry. */
@@ -694,8 +690,8 @@
     }
     const MonoTime now = parts.loop.now();
     parts.context.stopDeadline = now + parts.settings.stopGracePeriod;
-    parts.context.strictAdmissionFrom
-        = now + parts.settings.stopGracePeriod * strictAdmissionNumerator / strictAdmissionDenominator;
+    // Callers use an answer of the directory that names this instance until its time to live has passed.
+    parts.context.strictAdmissionFrom = now + std::min(parts.settings.locateTtl, parts.settings.stopGracePeriod);
     logging::write(
         logging::Level::Info, "gateway", "stopping", {{"open_requests", std::uint64_t{parts.openRequestCount()}}});
     parts.onPublishedStateChanged({});
