Gateway: attempts in which nothing was sent do not count against a request

Callers saw: a request was refused beside a sound idle upstream after four others could not be connected.

Cause: the limit of four attempts counted those in which no byte was sent, which no rule on attempts means.

"a request reaches the upstream that is left ..." plays twenty orders.

An upstream that could not be connected is left out of the next choices, so that the number of attempts stays bounded.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -550,7 +550,7 @@
 
 void Exchange::startAttempt(const placement::Decision &decision)
 {
-    if (m_attempts.count() > 0) {
+    if (m_attempts.mayHaveRun() || !m_attempts.refusedBy().empty()) {
         m_context.metrics.increment("magnolia_gateway_repeats_total");
     }
     m_decision = decision;
--- a/src/gateway/internal/exchangecompletion.cpp
+++ b/src/gateway/internal/exchangecompletion.cpp
@@ -57,7 +57,7 @@
             {"events_passed", m_forwardedEvents}, {"shared_parts", sharedParts()},
             {"fingerprint", std::string_view(fingerprint)},
             {"after_ms", std::int64_t{toMilliseconds(m_context.loop.now() - m_attemptStartedAt).count()}}});
-    m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
+    m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotSent);
     if (failure == CallFailure::ClosedOnConnect) {
         m_context.path->onConnectFailed(m_decision.primary, m_sentAt);
     }
@@ -272,7 +272,7 @@
     }
     // Invalidates the callback of a memory reservation that is being acquired.
     ++m_attemptNumber;
-    m_attempts.end(isSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
+    m_attempts.end(isSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotSent);
     endAttempt(std::nullopt);
 }
 
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -149,7 +149,7 @@
         {{"request", std::string_view(m_requestId)}, {"peer", std::string_view(m_relayPeers.back())},
             {"detail", std::string_view(detail)}, {"events_passed", m_forwardedEvents}});
     m_isRelaying = false;
-    m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotRun);
+    m_attempts.end(wasSent ? AttemptExecution::MayHaveRun : AttemptExecution::NotSent);
     if (wasSent) {
         retryOrGiveUp(detail);
     } else {
--- a/src/gateway/tests/callertimetests.cpp
+++ b/src/gateway/tests/callertimetests.cpp
@@ -203,3 +203,25 @@
     CHECK(requestCount == 2);
     CHECK(fixture.response.head.status == 200);
 }
+
+TEST_CASE("a request reaches the upstream that is left, however many others cannot be connected")
+{
+    // Guards against a limit on attempts that counts those in which nothing was sent. The order is random.
+    const RouteKind kind = GENERATE(RouteKind::Idempotent, RouteKind::AtMostOnce);
+    for (int order = 0; order < 20; ++order) {
+        GatewayFixture fixture;
+        for (int i = 0; i < 5; ++i) {
+            fixture.addUpstream("service", [](Connection &connection, const std::string &request, int /*number*/) {
+                connection.send(plainResponse(request, 200, "ok"));
+            });
+        }
+        for (std::size_t i = 0; i < 4; ++i) {
+            fixture.upstreams[i]->stopListening();
+        }
+        for (int i = 0; i < order; ++i) {
+            static_cast<void>(fixture.context.random.next());
+        }
+        fixture.runRequest(fixture.makeRoute(kind));
+        CHECK(fixture.response.head.status == 200);
+    }
+}
