Placement, fleet: instances know by when the callers of others need their first event

Cause: a placement told the latency target, so that other instances took a caller with a deadline of 15 s for one that waits four targets, and read parts of later prompts before its own until its time was over. Predictions also took the queue as it is now, while parts that arrive later are read first.

A placement tells the time by which its caller needs the first event, in the field of the message that held the target; earlier builds read it as a longer target. A prompt is accepted if it is in time even when prefills take twice as long, while the fleet has a backlog.

--- a/bench/experiment/decisioncost.cpp
+++ b/bench/experiment/decisioncost.cpp
@@ -46,7 +46,7 @@
     newPlacement.outputTokens = 1000;
     newPlacement.gapTarget = Milliseconds(250);
     newPlacement.placedAt = now;
-    newPlacement.firstEventTarget = Milliseconds(1000);
+    newPlacement.firstEventLimit = Milliseconds(1000);
     return newPlacement;
 }
 
--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -254,7 +254,7 @@
     newPlacement.promptTokens = work.promptTokens;
     newPlacement.outputTokens = work.outputTokens;
     newPlacement.gapTarget = request.targets.gap;
-    newPlacement.firstEventTarget = request.targets.firstEvent;
+    newPlacement.firstEventLimit = request.time.untilFirstEvent(work.decodeMs);
     newPlacement.placedAt = now;
     newPlacement.reservedTokensPerHelper = decision.reservedTokensPerHelper;
     m_attempts[id] = Attempt{arrivalIndex, instance, decision.primary, now, false, -1, 0, GapCause::None};
--- a/src/fleet/internal/compactincrement.cpp
+++ b/src/fleet/internal/compactincrement.cpp
@@ -105,7 +105,7 @@
         integer(it.promptTokens);
         integer(it.outputTokens);
         integer(it.gapTargetMs);
-        integer(it.targetMs);
+        integer(it.firstEventLimitMs);
         integer(it.ageMs);
         integer(it.reservedTokensPerHelper);
     }
--- a/src/fleet/types/peermessage.h
+++ b/src/fleet/types/peermessage.h
@@ -22,7 +22,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
     std::uint32_t gapTargetMs = 0;
-    std::uint32_t targetMs = 0;
+    /** Time from the placement by which the caller needs the first event; the latency target in earlier builds. */
+    std::uint32_t firstEventLimitMs = 0;
     /** Time since the request was placed. An age is sent because the clocks of instances are not synchronised. */
     std::uint32_t ageMs = 0;
     /** Read by earlier builds only, which expect the request to wait behind others if it is set. */
@@ -33,8 +34,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(id, primary, helpers, promptTokens, outputTokens, gapTargetMs, targetMs, ageMs, isLate, isDecoding,
-            reservedTokensPerHelper);
+        archive(id, primary, helpers, promptTokens, outputTokens, gapTargetMs, firstEventLimitMs, ageMs, isLate,
+            isDecoding, reservedTokensPerHelper);
     }
 };
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -593,7 +593,9 @@
     placed.promptTokens = m_promptTokens;
     placed.outputTokens = m_outputTokens;
     placed.gapTarget = m_route.gapTarget;
-    placed.firstEventTarget = std::max(Milliseconds{0}, m_route.latencyTarget - elapsed());
+    const catalogue::EngineModel *const engine = engineOf(m_service);
+    placed.firstEventLimit
+        = std::max(Milliseconds{0}, callerTime().untilFirstEvent(engine == nullptr ? 0 : decodeMs(*engine)));
     placed.placedAt = m_attemptStartedAt;
     placed.reservedTokensPerHelper = m_decision.reservedTokensPerHelper;
     m_placementId = placed.id;
@@ -602,7 +604,7 @@
     m_context.fleet->announcePlacement(
         {placed.id, placed.primary, placed.helpers, static_cast<std::uint32_t>(placed.promptTokens),
             static_cast<std::uint32_t>(placed.outputTokens), static_cast<std::uint32_t>(placed.gapTarget.count()),
-            static_cast<std::uint32_t>(placed.firstEventTarget.count()), 0, false, false,
+            static_cast<std::uint32_t>(placed.firstEventLimit.count()), 0, false, false,
             static_cast<std::uint32_t>(placed.reservedTokensPerHelper)});
 }
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -197,7 +197,7 @@
     std::vector<fleet::PlacementRecord> records;
     for (const placement::Placement &it : context.placements.placementsOf(settings.instance.value())) {
         records.push_back({it.id, it.primary, it.helpers, toUint32(it.promptTokens), toUint32(it.outputTokens),
-            static_cast<std::uint32_t>(it.gapTarget.count()), static_cast<std::uint32_t>(it.firstEventTarget.count()),
+            static_cast<std::uint32_t>(it.gapTarget.count()), static_cast<std::uint32_t>(it.firstEventLimit.count()),
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(loop.now() - it.placedAt).count())),
             false, it.isDecoding, toUint32(it.reservedTokensPerHelper)});
     }
@@ -221,7 +221,7 @@
     for (const fleet::PlacementRecord &it : message.placements) {
         placements.push_back({it.id, it.primary, it.helpers, static_cast<double>(it.promptTokens),
             static_cast<double>(it.outputTokens), Milliseconds(it.gapTargetMs), loop.now() - Milliseconds(it.ageMs),
-            Milliseconds(it.targetMs), it.isDecoding, static_cast<double>(it.reservedTokensPerHelper)});
+            Milliseconds(it.firstEventLimitMs), it.isDecoding, static_cast<double>(it.reservedTokensPerHelper)});
     }
     if (message.isFullState) {
         context.placements.replaceAll(message.instance, placements, loop.now());
--- a/src/placement/chooseengines.h
+++ b/src/placement/chooseengines.h
@@ -40,6 +40,8 @@
     double helperCost = 0.004;
     /** Factor by which concurrent decode steps lengthen a prefill. */
     double prefillOverheadFactor = 1.1;
+    /** Factor by which parts of later prompts lengthen prefills while prompts wait. */
+    double overtakenPrefillFactor = 2;
     /** Factor by which concurrent prefills lengthen the decode of a response. */
     double decodeOverheadFactor = 1.25;
     /** Maximum number of engines for one prompt; the published limit of helpers is 16. */
--- a/src/placement/internal/chooseengines.cpp
+++ b/src/placement/internal/chooseengines.cpp
@@ -37,6 +37,8 @@
     std::vector<std::size_t> members;
     double cost = std::numeric_limits<double>::infinity();
     double firstEventMs = std::numeric_limits<double>::infinity();
+    /** Time to the first event if prompts that come later delay it. */
+    double latestFirstEventMs = std::numeric_limits<double>::infinity();
     double reservedTokensPerHelper = 0;
     /** Whether the caller gets its whole response in time. */
     bool isInTime = false;
@@ -55,6 +57,8 @@
     double wholePrefillMs = 0;
     /** Time left for the first event, in milliseconds. */
     double firstEventLimitMs = 0;
+    /** Whether a prompt waits at any engine or is being prefilled there. */
+    bool hasBacklog = false;
 
     [[nodiscard]] double partMs(std::size_t parts) const
     {
@@ -73,6 +77,7 @@
     [[nodiscard]] double lateness(double predictedMs) const;
     [[nodiscard]] double meanResponseMs() const;
     [[nodiscard]] double firstEventMs(const Engine &it, double part, bool isHelper) const;
+    [[nodiscard]] double latestFirstEventMs(const Engine &it, double part, bool isHelper) const;
     [[nodiscard]] int requestsAhead(const Engine &it) const;
     [[nodiscard]] double occupancyLoss(std::size_t parts, double part) const;
     [[nodiscard]] bool canFitOneEngine() const;
@@ -88,7 +93,7 @@
 {
     const double slowdown = it.candidate->slowdown;
     const auto isLost = [&](const PlacementLoad::PendingPrefill &pending) {
-        return isHelper && pending.patienceMs >= 0 && pending.patienceMs < part * slowdown;
+        return isHelper && pending.slackMs >= 0 && pending.slackMs < part * slowdown;
     };
     const double pass = passMs(it);
     const double maxInPass = maxPrefillMsInPass(engine, work.promptTokens);
@@ -206,6 +211,17 @@
     return ms;
 }
 
+/**
+ * Returns the time to the first event if prompts that come later delay it. While the fleet has a backlog, their parts
+ * are read before the own prompts of their helpers, which then wait for longer than it seems now.
+ */
+double ChoiceContext::latestFirstEventMs(const Engine &it, double part, bool isHelper) const
+{
+    const double backlog = isHelper ? it.load->helperBacklogMs : it.load->backlogMs;
+    const double delay = hasBacklog ? (parameters.overtakenPrefillFactor - 1) * (backlog + part) : 0;
+    return firstEventMs(it, part, isHelper) + delay * it.candidate->slowdown;
+}
+
 /** Returns the number of responses that must end before this request gets a slot if it waits behind all known ones. */
 int ChoiceContext::requestsAhead(const Engine &it) const
 {
@@ -260,7 +276,7 @@
     const double wait = it.load->backlogMs * it.candidate->slowdown
         / std::max<double>(1, static_cast<double>(choice.targets.firstEvent.count()));
     constexpr double waitCost = 0.1;
-    const int ownLoss = firstEventMs >= choice.firstEventLimitMs ? 1 : 0;
+    const int ownLoss = choice.latestFirstEventMs(it, part, isHelper) >= choice.firstEventLimitMs ? 1 : 0;
     return {index, ownLoss + choice.lostCallers(it, part, isHelper),
         choice.lossOfOthers(it, part, isHelper) + choice.lateness(firstEventMs) + choice.orderCost(it, part)
             + waitCost * wait};
@@ -302,6 +318,7 @@
     plan.members.push_back(primary->index);
     const Engine &primaryEngine = choice.engines[primary->index];
     plan.firstEventMs = choice.firstEventMs(primaryEngine, part, false);
+    plan.latestFirstEventMs = choice.latestFirstEventMs(primaryEngine, part, false);
     plan.lostCallers = choice.lostCallers(primaryEngine, part, false);
     plan.cost = choice.lossOfOthers(primaryEngine, part, false) + choice.orderCost(primaryEngine, part)
         + choice.parameters.helperCost * static_cast<double>(parts - 1);
@@ -309,11 +326,12 @@
         const Engine &it = choice.engines[helpers[i].index];
         plan.members.push_back(helpers[i].index);
         plan.firstEventMs = std::max(plan.firstEventMs, choice.firstEventMs(it, part, true));
+        plan.latestFirstEventMs = std::max(plan.latestFirstEventMs, choice.latestFirstEventMs(it, part, true));
         plan.lostCallers += choice.lostCallers(it, part, true);
         plan.cost += choice.lossOfOthers(it, part, true) + choice.orderCost(it, part) / static_cast<double>(parts);
     }
     plan.cost += choice.lateness(plan.firstEventMs) + choice.occupancyLoss(parts, part);
-    plan.isInTime = plan.firstEventMs < choice.firstEventLimitMs;
+    plan.isInTime = plan.latestFirstEventMs < choice.firstEventLimitMs;
     return plan;
 }
 
@@ -321,7 +339,7 @@
 bool isBetter(const Plan &a, const Plan &b)
 {
     if (!a.isInTime && !b.isInTime) {
-        return a.firstEventMs < b.firstEventMs;
+        return a.latestFirstEventMs < b.latestFirstEventMs;
     }
     return std::make_tuple(!a.isInTime, a.lostCallers, a.cost) < std::make_tuple(!b.isInTime, b.lostCallers, b.cost);
 }
@@ -415,6 +433,7 @@
             continue;
         }
         choice.engines.push_back({&candidates[i], &known, i});
+        choice.hasBacklog = choice.hasBacklog || known.backlogMs > 0;
     }
     if (choice.engines.empty()) {
         return refusal(Verdict::NoUpstream, choice, std::numeric_limits<double>::infinity());
@@ -437,7 +456,7 @@
             choice.partMs(std::min(choice.engines.size(), parameters.maxEngines)));
     }
     if (!bestPlan->isInTime) {
-        return refusal(Verdict::TooLate, choice, bestPlan->firstEventMs);
+        return refusal(Verdict::TooLate, choice, bestPlan->latestFirstEventMs);
     }
     if (bestPlan->lostCallers > 0) {
         return refusalUntil(Verdict::Crowded, choice, timeUntilIdlePrefill(choice), bestPlan->firstEventMs);
--- a/src/placement/internal/placementtable.cpp
+++ b/src/placement/internal/placementtable.cpp
@@ -1,7 +1,6 @@
 // Known placements and the load derived from them.
 #include "placement/placementtable.h"
 
-#include "catalogue/callerbehaviour.h"
 #include "placement/enginecost.h"
 #include "placement/silentowner.h"
 
@@ -307,12 +306,8 @@
                 continue;
             }
             const Placement &it = m_entries.at(prefill.id).placement;
-            const double dueInMs = toMs(it.placedAt + it.firstEventTarget - now);
-            // Of the target only what was left at the placement is known, so that the caller stays at least this long.
-            const Milliseconds patience = catalogue::streamPatience(it.firstEventTarget, it.gapTarget);
-            const double leavesInMs = toMs(it.placedAt + patience - now);
-            load.pendingPrefills.push_back(
-                {dueInMs - backlog * slowdownOfEngine, leavesInMs - backlog * slowdownOfEngine, it.gapTarget});
+            const double neededInMs = toMs(it.placedAt + it.firstEventLimit - now);
+            load.pendingPrefills.push_back({neededInMs - backlog * slowdownOfEngine, it.gapTarget});
         }
         load.backlogMs = backlog;
     }
--- a/src/placement/internal/silentowner.cpp
+++ b/src/placement/internal/silentowner.cpp
@@ -11,7 +11,7 @@
 {
     MonoTime::duration remaining{0};
     if (!placement.isDecoding) {
-        remaining = std::max(MonoTime::duration(0), placement.placedAt + placement.firstEventTarget - lastHeardAt);
+        remaining = std::max(MonoTime::duration(0), placement.placedAt + placement.firstEventLimit - lastHeardAt);
     }
     const double maxDecodeMs = static_cast<double>(maxSilentKeepTime.count());
     const double boundedMs = std::isfinite(decodeMs) ? std::clamp(decodeMs, 0.0, maxDecodeMs) : maxDecodeMs;
--- a/src/placement/placementtable.h
+++ b/src/placement/placementtable.h
@@ -26,10 +26,9 @@
     /** A prompt of the upstream itself that waits for prefill or is in prefill. */
     struct PendingPrefill
     {
-        /** Time by which its prefill may be delayed and still meet the target; negative if already late. */
+        /** Time by which its prefill may be delayed and still serve its caller; negative if the caller leaves anyway.
+         */
         double slackMs = 0;
-        /** Time by which its prefill may be delayed before its caller leaves; negative if the caller leaves anyway. */
-        double patienceMs = 0;
         /** Target for the longest gap between its events once it decodes. */
         Milliseconds gapTarget{0};
     };
--- a/src/placement/types/placement.h
+++ b/src/placement/types/placement.h
@@ -26,8 +26,8 @@
     Milliseconds gapTarget{0};
     /** Time of the placement, on the clock of the instance that holds this record. */
     MonoTime placedAt{};
-    /** Target time from the placement to the first event. */
-    Milliseconds firstEventTarget{0};
+    /** Time from the placement by which the caller needs the first event; see CallerTime::untilFirstEvent(). */
+    Milliseconds firstEventLimit{0};
     /** Whether the first event has arrived. */
     bool isDecoding = false;
     /** KV cache tokens reserved on each helper; 0 if all memory is on the primary. */
