Gateway: a prompt that the engines in use cannot hold is told when to come back while others are out of use

Cause: the time until memory is free was judged by the engines that can be used now, though that others are missing ends as well.

As with a service without an upstream, the outage is expected to last about as long again as it has lasted.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -457,6 +457,11 @@
         decision.retryAfter = outageRetryAfter();
     } else {
         m_context.withoutUpstreamSince.erase(m_service);
+        if (decision.verdict == placement::Verdict::TooLarge && !decision.retryAfter
+            && usable.size() < m_context.upstreams.ofService(m_service).size()) {
+            // Engines that cannot be used now would hold a part of the prompt.
+            decision.retryAfter = outageRetryAfter();
+        }
     }
     const KnownUpstream *chosen = m_context.upstreams.find(decision.primary);
     const bool isOnCold = chosen != nullptr && m_context.cold->coldTimeLeft(*chosen) > Milliseconds{0};
