Experiment: policies are compared by the callers that they serve

Cause: the experiment judged policies by the credit of an answer (worth, late worth by class), so that choices were tuned to it.

It reports the share of requests that were answered in full within their callers' own time, the share that met the targets as well, and the time until a caller was refused for the last time.

--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -136,7 +136,7 @@
         const std::string path = args["out"].as<std::string>() + '/' + workload->name;
         std::ofstream(path + ".json") << jsonReport(*workload, policies, summaries);
         std::ofstream plot(path + ".svg");
-        plot << worthPlot(*workload, policies, summaries);
+        plot << servedPlot(*workload, policies, summaries);
         std::ofstream(path + "-lengths.svg") << lengthPlot(*workload, policies, summaries);
         if (!plot) {
             std::cerr << "magnolia-experiment: " << path << ".svg cannot be written\n";
--- a/bench/experiment/outcomes.h
+++ b/bench/experiment/outcomes.h
@@ -30,8 +30,10 @@
     double largestTenthServed = 0;
     /** See Experiment::busiestOverMean(); 0 if not measured. */
     double busiestOverMean = 0;
-    /** Earned worth as a share of the worth of all requests of the class. */
-    double worth = 0;
+    /** Share of the requests that were answered in full within the time of their callers. */
+    double served = 0;
+    /** Median time until callers were refused for the last time; 0 if none was. */
+    double finalRefusalMedianMs = 0;
     double firstEventMedianMs = 0;
     double firstEventP95Ms = 0;
     double gapP95Ms = 0;
@@ -55,9 +57,11 @@
 
 struct RunSummary
 {
-    /** Earned worth as a share of the worth of all requests. */
-    double worth = 0;
-    /** Earned share of the worth of all requests in a window; mean of the two worst windows. */
+    /** Share of all requests that were answered in full within the time of their callers. */
+    double served = 0;
+    /** Share of all requests whose answers met the targets as well. */
+    double onTime = 0;
+    /** Served share of the requests in a window; mean of the two worst windows. */
     double worstWindows = 0;
     double busyShare = 0;
     /** See Experiment::idleBesideWaitingShare(). */
