--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -680,8 +680,7 @@
     request.requestIdField = m_context.settings.names.requestId;
     request.notExecutedField = m_context.settings.names.notExecuted;
     // A pooled connection may close while the request is being sent, which leaves unknown whether the request ran. A
-    // stream is then resumed elsewhere. Plain requests have few attempts and need few connections, so they use new
-    // ones.
+    // stream is then resumed elsewhere. A plain request would lose one of its few attempts, so it uses a new one.
     request.canReuseConnection = isStream() && m_route.isRepeatable();
     if (m_context.memory.limits().isLimited()) {
         // Many streams may each read once more before they find that memory is short.
--- a/src/gateway/internal/pathmonitor.cpp
+++ b/src/gateway/internal/pathmonitor.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-/** Probes of each round. New connections have a price, and the first one mostly reaches its upstream. */
+/** Probes of each round. A new connection may hold a slot of its upstream, and the first one mostly reaches it. */
 constexpr std::array<std::size_t, 3> probesPerRound{1, 4, 4};
 /** Several round trips between any two data centres. */
 constexpr Milliseconds maxRoundTripTime{50};
--- a/src/placement/internal/chooseservice.cpp
+++ b/src/placement/internal/chooseservice.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-/** Price of a full upstream against an idle one, as a share of the service time: servers slow down when nearly full. */
+/** Added time of a full upstream against an idle one, as a share of the service time: servers slow down when nearly
+ * full. */
 constexpr double fullUpstreamCost = 0.3;
 
 double predictedMs(const ServiceWork &work, const Candidate &candidate, int requests)
@@ -48,7 +49,7 @@
         rated.push_back({candidate.key, predictedMs(work, candidate, requests)});
         best = std::min(best, rated.back().predicted);
     }
-    // Predictions that differ by less than the price of a full upstream may be reversed by requests not yet known here.
+    // Predictions that differ by less than a full upstream adds may be reversed by requests not yet known here.
     std::erase_if(rated, [&](const Rated &it) {
         return it.predicted > best + work.meanServiceMs * fullUpstreamCost;
     });
