--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -320,6 +320,13 @@
     }
 }
 
+void GatewayFleet::setLocateTtl(Milliseconds ttl)
+{
+    for (const auto &it : m_instances) {
+        it->settings.locateTtl = ttl;
+    }
+}
+
 void GatewayFleet::setRouteTimeout(Milliseconds timeout)
 {
     for (const auto &it : m_instances) {
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -75,6 +75,8 @@
     void setColdBudget(double requestsPerSecond);
     /** Sets the timeout of all routes, which is 4 s otherwise; call it before start(). */
     void setRouteTimeout(Milliseconds timeout);
+    /** Sets the time to live of directory answers; call it before start(). */
+    void setLocateTtl(Milliseconds ttl);
     /** Starts all gateways and waits until they are ready and know each other. */
     void start();
     void cut(std::size_t gateway, Cut cut);
--- a/src/gateway/tests/stoptests.cpp
+++ b/src/gateway/tests/stoptests.cpp
@@ -140,3 +140,29 @@
     CHECK(received.contains("kept0"));
     CHECK(received.contains("slow0"));
 }
+
+TEST_CASE("a stopping instance serves new connections until the directory answers that name it have expired")
+{
+    // Guards against a share of the stop: callers keep the address for the time to live, however long the stop takes.
+    GatewayFleet fleet({"a", "a"});
+    for (int i = 0; i < 2; ++i) {
+        fleet.addUpstream("app", [](Connection &connection, const std::string &request, int /*number*/) {
+            connection.send(plainResponse(request, 200, "ok"));
+        });
+    }
+    fleet.setLocateTtl(Milliseconds(4000));
+    fleet.start();
+    fleet.beginStop(0);
+    fleet.runFor(Milliseconds(3500));
+    const auto before = fleet.send(0, "before", "/safe/x", {}, "400");
+    fleet.runUntil(
+        [&] {
+            return before->status() != 0;
+        },
+        Milliseconds(400));
+    CHECK(before->status() == 200);
+    fleet.runFor(Milliseconds(1000));
+    const auto after = fleet.send(0, "after", "/safe/x", {}, "400");
+    fleet.runFor(Milliseconds(400));
+    CHECK(after->received.empty());
+}
--- a/src/placement/tests/chooseenginestests.cpp
+++ b/src/placement/tests/chooseenginestests.cpp
@@ -422,3 +422,27 @@
     hurried.time.untilDeadline = Milliseconds(6000);
     CHECK_FALSE(fleet.place(hurried, start).retryAfter);
 }
+
+TEST_CASE("a long prompt does not pause the streams of several callers to be on time itself")
+{
+    // Read by one engine it is a little late; the other engine writes two streams, which would pause beyond their
+    // target.
+    Fleet fleet(2);
+    for (PlacementId id = 900; id < 902; ++id) {
+        Placement stream;
+        stream.id = id;
+        stream.primary = 1;
+        stream.promptTokens = 5000;
+        stream.outputTokens = 1300;
+        stream.gapTarget = Milliseconds(250);
+        stream.placedAt = start;
+        stream.isDecoding = true;
+        fleet.table.put("peer", stream, start);
+    }
+    Request request = makeLongRequest(100'000);
+    request.targets.firstEvent = Milliseconds(1500);
+    const Decision decision = fleet.place(request, start);
+    REQUIRE(decision.verdict == Verdict::Send);
+    CHECK(decision.primary == 2);
+    CHECK(decision.helpers.empty());
+}
