Directory: silent peers are not named beside peers that are heard

Cause: PeerTable::callerAddresses() named silent peers if more were silent than heard, and one more. It took the silence of most for a fault of the instance that hears it, though heard peers, answers of the store and reached upstreams show that it has its network.

Change: silent peers are named only by an instance that hears no peer, reaches no upstream and has no answer of the store. The log tells when that begins and ends (contact_lost, contact_regained).

Why it works: evidence of contact, and not the share of silent peers, decides whether silence is the peers' or this instance's.

--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -161,43 +161,44 @@
     return std::chrono::duration<double, std::milli>(now - peer.lastHeardAt).count() > limit;
 }
 
+bool PeerTable::isNameable(const Peer &peer, MonoTime now) const
+{
+    return peer.isReady && !peer.isLeaving && !isSilent(peer, now);
+}
+
 std::vector<std::string> PeerTable::callerAddresses(
-    MonoTime now, bool isSelfUsable, const std::function<bool(const Peer &peer)> &isAllowed) const
+    MonoTime now, OwnReach reach, const std::function<bool(const Peer &peer)> &isAllowed) const
 {
-    // The silence of most peers tells of this instance, so all of them count, whether allowed or not.
-    std::size_t silentCount = 0;
-    std::size_t heardCount = 0;
+    const bool isContactLost = hasLostContact(now, reach);
     std::vector<std::string> live;
-    std::vector<std::string> silent;
     std::vector<std::string> partitioned;
     for (const auto &[name, peer] : m_peers) {
-        if (peer.isLeaving || !peer.isReady || now - peer.lastHeardAt > m_parameters.forgetAfter) {
-            continue;
+        const bool isLastResort
+            = isContactLost && peer.isReady && !peer.isLeaving && now - peer.lastHeardAt <= m_parameters.forgetAfter;
+        if ((isNameable(peer, now) || isLastResort) && (!isAllowed || isAllowed(peer))) {
+            (peer.isPartitioned ? partitioned : live).push_back(peer.callerAddress);
         }
-        const bool isSilentNow = isSilent(peer, now);
-        ++(isSilentNow ? silentCount : heardCount);
-        if (!isAllowed || isAllowed(peer)) {
-            (isSilentNow ? silent : peer.isPartitioned ? partitioned : live).push_back(peer.callerAddress);
-        }
-    }
-    if (silentCount > heardCount + 1) {
-        live.insert(live.end(), silent.begin(), silent.end());
     }
-    if (live.empty() && !isSelfUsable) {
-        return partitioned;
-    }
-    return live;
+    const bool isSelfUsable = reach.isNamed && reach.areUpstreamsReached;
+    return live.empty() && !isSelfUsable ? partitioned : live;
 }
 
 bool PeerTable::hasSoundPeer(MonoTime now, const std::function<bool(const Peer &peer)> &isAllowed) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
         const Peer &peer = it.second;
-        return peer.isReady && !peer.isLeaving && !peer.isPartitioned && !isSilent(peer, now)
-            && (!isAllowed || isAllowed(peer));
+        return isNameable(peer, now) && !peer.isPartitioned && (!isAllowed || isAllowed(peer));
     });
 }
 
+bool PeerTable::hasLostContact(MonoTime now, OwnReach reach) const
+{
+    return !reach.areUpstreamsReached && !reach.isStoreReached && !m_peers.empty()
+        && std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
+               return isSilent(it.second, now);
+           });
+}
+
 const std::map<std::string, Peer> &PeerTable::peers() const
 {
     return m_peers;
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -6,6 +6,7 @@
 
 #include "fleet/types/capability.h"
 #include "fleet/types/extensionmessage.h"
+#include "fleet/types/ownreach.h"
 #include "fleet/types/peermessage.h"
 #include "fleet/types/probemessage.h"
 #include "framework/global/types/time.h"
@@ -95,16 +96,21 @@
     [[nodiscard]] Milliseconds heartbeatInterval() const;
     [[nodiscard]] bool isSilent(const Peer &peer, MonoTime now) const;
     /**
-     * Returns the caller addresses of the peers that accept callers. If most peers are silent, this instance has more
-     * likely lost its network, and the silent peers are returned as well. Partitioned peers are returned only if no
-     * other peer is live and `isSelfUsable`, which tells whether this instance itself serves callers, is false. If
-     * `isAllowed` is set, only peers for which it returns true are considered for the answer.
+     * Returns the caller addresses of the peers that accept callers. A silent peer may have been lost, and is returned
+     * only if this instance has lost contact with everything (see hasLostContact()). Partitioned peers are returned
+     * only if no other peer is live and this instance is not named or partitioned itself. If `isAllowed` is set, only
+     * peers for which it returns true are considered for the answer.
      */
     [[nodiscard]] std::vector<std::string> callerAddresses(
-        MonoTime now, bool isSelfUsable, const std::function<bool(const Peer &peer)> &isAllowed = {}) const;
+        MonoTime now, OwnReach reach, const std::function<bool(const Peer &peer)> &isAllowed = {}) const;
     /** Whether a live peer accepts callers and is not partitioned; only peers that `isAllowed` accepts, if it is set.
      */
     [[nodiscard]] bool hasSoundPeer(MonoTime now, const std::function<bool(const Peer &peer)> &isAllowed = {}) const;
+    /**
+     * Whether this instance hears no peer and reaches neither the store nor upstreams. Only then is its own network
+     * more likely to be lost than all of its peers, and callers lose nothing by trying silent peers.
+     */
+    [[nodiscard]] bool hasLostContact(MonoTime now, OwnReach reach) const;
     [[nodiscard]] const std::map<std::string, Peer> &peers() const;
     /** Returns the peer whose name has this stable hash; null if none is known. */
     [[nodiscard]] const Peer *findByHash(std::uint64_t instanceHash) const;
@@ -114,6 +120,8 @@
     [[nodiscard]] std::size_t liveInstanceCount(MonoTime now) const;
 
 private:
+    /** Whether the peer accepts callers and is not silent. */
+    [[nodiscard]] bool isNameable(const Peer &peer, MonoTime now) const;
     UpdateResult updateFromIncrement(const PeerMessage &message, MonoTime now);
 
     std::string m_self;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -154,6 +154,10 @@
     [[nodiscard]] ControlResponse respond(std::string_view path, std::string_view query);
     [[nodiscard]] ControlResponse respondToOperator(std::string_view path, std::string_view query);
     /** Returns the addresses that the directory names for a question. */
+    /** `isNamed` tells whether this instance belongs to the answer of the directory. */
+    [[nodiscard]] fleet::OwnReach ownReach(bool isNamed) const;
+    /** Logs when the directory begins or ends to name silent peers. */
+    void logContact();
     [[nodiscard]] std::vector<std::string> locate(std::string_view query) const;
     /** Returns the addresses of ready instances in `regions`, or of all ready instances if it is null. */
     [[nodiscard]] std::vector<std::string> readyAddresses(const std::vector<RegionId> *regions) const;
@@ -181,6 +185,8 @@
     std::shared_ptr<Listener> relayListener;
     std::shared_ptr<Listener> directoryListener;
     bool wasReady = false;
+    // Whether the directory named silent peers when it was last asked.
+    bool wasContactLost = false;
     // Whether all runs of upstreams were known before the current change, so that a new one has just started.
     bool areRunsComplete = false;
 };
@@ -461,6 +467,23 @@
     }
 }
 
+fleet::OwnReach Gateway::Parts::ownReach(bool isNamed) const
+{
+    return {isNamed, !context.path->detector().isPartitioned(), storeReader.isConnected()};
+}
+
+void Gateway::Parts::logContact()
+{
+    const fleet::OwnReach reach = ownReach(isReady());
+    const bool isContactLost = context.fleet->table().hasLostContact(loop.now(), reach);
+    if (isContactLost != wasContactLost) {
+        wasContactLost = isContactLost;
+        logging::write(logging::Level::Warning, "gateway", isContactLost ? "contact_lost" : "contact_regained",
+            {{"peers_heard", std::uint64_t{context.fleet->table().liveInstanceCount(loop.now()) - 1}},
+                {"upstreams_reached", reach.areUpstreamsReached}, {"store_reached", reach.isStoreReached}});
+    }
+}
+
 std::vector<std::string> Gateway::Parts::readyAddresses(const std::vector<RegionId> *regions) const
 {
     const auto isInRegions = [&](const RegionId &region) {
@@ -473,7 +496,7 @@
     const bool isSelfNamed = isReady() && isInRegions(ownRegion(settings));
     const bool isPartitioned = context.path->detector().isPartitioned();
     std::vector<std::string> addresses
-        = context.fleet->table().callerAddresses(loop.now(), isSelfNamed && !isPartitioned, isAllowed);
+        = context.fleet->table().callerAddresses(loop.now(), ownReach(isSelfNamed), isAllowed);
     // A partitioned instance relays its requests, so callers are better served elsewhere.
     const bool hasSoundPeer = isPartitioned && context.fleet->table().hasSoundPeer(loop.now(), isAllowed);
     if (isSelfNamed && !hasSoundPeer) {
@@ -501,6 +524,7 @@
         return {isReady() ? 200 : 503, {}, {}};
     }
     if (path == settings.paths.locate || path == productLocatePath) {
+        logContact();
         std::vector<std::string> addresses = locate(query);
         if (addresses.empty()) {
             return {503, {}, {}};
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,10 @@
     /** Ends upstream `index` for all gateways. */
     void crash(std::size_t index);
     void beginStop(std::size_t gateway);
+    /** Prepares the gateways from `first` on for loseMachines(); call it before start(). */
+    void setLosable(std::size_t first);
+    /** Ends all work of these gateways at once, as the loss of their machines does. */
+    void loseMachines();
 
     /**
      * Sends a request to a gateway. Its path selects the route: "/once/" must not run twice, "/safe/" may be repeated
@@ -122,6 +127,10 @@
 
     [[nodiscard]] std::string get(const std::string &address, const std::string &path);
 
+    // Runs the gateways that can be lost, until they are.
+    eventloop::EventLoop m_losableLoop;
+    std::optional<std::size_t> m_firstLosable;
+    bool m_hasLostMachines = false;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<std::string> m_services;
     std::vector<std::string> m_upstreamDataCentres;
