--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -33,6 +33,7 @@
     std::uint64_t incarnation = 0;
     /** Set of Capability bits that this instance states. */
     std::uint64_t capabilities = 0;
+    PeerTableParameters peerTable;
 };
 
 class FleetLink : public eventloop::IReadinessHandler, public std::enable_shared_from_this<FleetLink>
--- a/src/fleet/internal/fleetlink.cpp
+++ b/src/fleet/internal/fleetlink.cpp
@@ -221,7 +221,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_delegate(delegate)
-    , m_table(m_settings.instance, m_settings.address, m_settings.seeds)
+    , m_table(m_settings.instance, m_settings.address, m_settings.seeds, m_settings.peerTable)
     , m_detector(m_settings.instance, m_settings.incarnation, m_settings.address)
     , m_random(stableHash(m_settings.instance, m_settings.incarnation))
     , m_server(std::make_shared<SnapshotServer>(loop, delegate))
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -163,7 +163,8 @@
 
 bool PeerTable::isNameable(const Peer &peer, MonoTime now) const
 {
-    return peer.isReady && !peer.isLeaving && !isSilent(peer, now);
+    return peer.isReady && !peer.isLeaving && !isSilent(peer, now)
+        && now - peer.lastHeardAt <= m_parameters.maxNamedSilence;
 }
 
 std::vector<std::string> PeerTable::callerAddresses(
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -28,6 +28,11 @@
     Milliseconds heartbeatIntervalPerPeer{20};
     /** Heartbeat intervals without a message after which a peer is silent; single lost datagrams are tolerated. */
     double silentAfterIntervals = 3.2;
+    /**
+     * Time without a message after which a peer is no longer named to callers, however long the heartbeat interval is.
+     * A peer that was lost with nearly all others may not be suspected before.
+     */
+    Milliseconds maxNamedSilence{6000};
     /** Time without a message after which nothing is sent to a peer any more. */
     Milliseconds forgetAfter{60'000};
     /** Upper bound of the peers, and of the addresses reported by peers, that one instance keeps. */
@@ -120,7 +125,7 @@
     [[nodiscard]] std::size_t liveInstanceCount(MonoTime now) const;
 
 private:
-    /** Whether the peer accepts callers and is not silent. */
+    /** Whether the peer accepts callers and was heard lately enough to be named to them. */
     [[nodiscard]] bool isNameable(const Peer &peer, MonoTime now) const;
     UpdateResult updateFromIncrement(const PeerMessage &message, MonoTime now);
 
--- a/src/fleet/tests/failuredetectortests.cpp
+++ b/src/fleet/tests/failuredetectortests.cpp
@@ -65,6 +65,17 @@
     {
         return pairCount(false, true);
     }
+    /** Number of unreachable instances that the directories of reachable ones name, summed over these. */
+    [[nodiscard]] std::size_t staleNameCount() const
+    {
+        std::size_t count = 0;
+        for (const auto &it : m_nodes) {
+            for (const std::string &name : it->table.callerAddresses(m_schedule.now(), {})) {
+                count += it->isReachable && !m_nodes[indexOf(name)]->isReachable ? 1 : 0;
+            }
+        }
+        return count;
+    }
     [[nodiscard]] std::size_t suspectedBy(std::size_t node) const
     {
         std::size_t count = 0;
@@ -118,6 +129,10 @@
     {
         return "front-" + std::to_string(i);
     }
+    static std::size_t indexOf(const std::string &name)
+    {
+        return std::stoul(name.substr(name.find('-') + 1));
+    }
     static PeerAddress addressOf(std::size_t i)
     {
         return {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)};
@@ -235,6 +250,39 @@
     CHECK(fleet.missingPairCount() == 0);
 }
 
+TEST_CASE("directories name no lost instance seven seconds after a loss of any number, nor after a second one")
+{
+    // Guards against the naming of lost peers where too few are left to suspect them.
+    const std::size_t size = GENERATE(9, 77, 295);
+    const std::size_t left = GENERATE(1, 2, 4);
+    constexpr Milliseconds bound{7000};
+    ProbingFleet fleet(size);
+    fleet.run(Milliseconds(20'000));
+    for (std::size_t i = size / 2; i < size; ++i) {
+        fleet.setReachable(i, false);
+    }
+    fleet.run(bound);
+    CHECK(fleet.staleNameCount() == 0);
+    for (std::size_t i = left; i < size / 2; ++i) {
+        fleet.setReachable(i, false);
+    }
+    fleet.run(bound);
+    CHECK(fleet.staleNameCount() == 0);
+}
+
+TEST_CASE("directories name no lost instance seven seconds after a loss of nearly all")
+{
+    const std::size_t size = GENERATE(9, 77, 295);
+    const std::size_t left = GENERATE(1, 2, 5);
+    ProbingFleet fleet(size, 0.01);
+    fleet.run(Milliseconds(20'000));
+    for (std::size_t i = left; i < size; ++i) {
+        fleet.setReachable(i, false);
+    }
+    fleet.run(Milliseconds(7000));
+    CHECK(fleet.staleNameCount() == 0);
+}
+
 TEST_CASE("instances that were cut off are named again soon after they are back")
 {
     ProbingFleet fleet(100);
--- a/src/fleet/tests/peertabletests.cpp
+++ b/src/fleet/tests/peertabletests.cpp
@@ -194,6 +194,22 @@
         table.callerAddresses(noticedAt, {}) == std::vector<std::string>{"10.0.0.2:80", "10.0.0.8:80", "10.0.0.99:80"});
 }
 
+TEST_CASE("a lost peer of a large fleet is not named longer than the limit, though its silence is noticed later")
+{
+    PeerTableParameters parameters;
+    parameters.maxNamedSilence = Milliseconds(7000);
+    PeerTable table("1", {"10.0.0.1", 7000}, {}, parameters);
+    for (int i = 2; i < 300; ++i) {
+        table.update(makeMessage(std::to_string(i), 1), start);
+    }
+    const MonoTime limit = start + parameters.maxNamedSilence;
+    table.update(makeMessage("2", 2), limit);
+    CHECK(table.callerAddresses(limit, {}).size() == 298);
+    CHECK(table.callerAddresses(limit + Milliseconds(1), {}) == std::vector<std::string>{"10.0.0.2:80"});
+    CHECK(table.hasSoundPeer(limit + Milliseconds(1)));
+    CHECK_FALSE(table.hasSoundPeer(limit + Milliseconds(7001)));
+}
+
 TEST_CASE("silent peers are removed, so that the table has room for new ones")
 {
     PeerTableParameters parameters;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -106,6 +106,7 @@
         linkSettings.relayAddress = settings.relayAddress;
         linkSettings.incarnation = static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds() / 1000);
         linkSettings.capabilities = extensionHandlers.capabilities();
+        linkSettings.peerTable.maxNamedSilence = settings.maxNamedSilence;
         context.fleet = std::make_shared<fleet::FleetLink>(loop, linkSettings, *this);
         context.path->setPartitionListener([this] {
             onPartitionChanged();
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -34,6 +34,8 @@
     WirePaths paths;
     /** Time for which callers may cache a response of the address directory. */
     Milliseconds locateTtl{2000};
+    /** Time without a message of a peer after which the address directory no longer names it. */
+    Milliseconds maxNamedSilence{6000};
     /** Maximum time between the request to stop and the end of the process. */
     Milliseconds stopGracePeriod{8000};
     /** Retries that all instances may make per service and window: this share of its requests, plus the slack. */
