Answers without a length are whole only if the whole request was acknowledged

Cause: UpstreamCall::onEnd() compared with the output that was not written yet. A body of 1 MiB fits into the system's buffers, so that none was left, while 757,949 bytes were not acknowledged.

Change: TcpStream::unacknowledgedOutput() adds what the system holds (SIOCOUTQ), and the log line unframed_answer_ended has it as untaken_bytes.

Evidence: "an answer without a length whose upstream ends before it has taken the request ..." with a body that the system holds failed for its three kinds of routes before, passes now. A reset, and an upload over a peer, held before (new test over a peer).

Why it works: the segment that closes a connection acknowledges all that had arrived, so that a sound upstream that has read its request leaves nothing.

--- a/src/framework/eventloop/internal/tcpstream.cpp
+++ b/src/framework/eventloop/internal/tcpstream.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace magnolia::eventloop
@@ -189,6 +191,15 @@
     return m_output.size() - m_sentBytes;
 }
 
+std::size_t TcpStream::unacknowledgedOutput() const
+{
+    int held = 0;
+    if (m_fd < 0 || ::ioctl(m_fd, SIOCOUTQ, &held) != 0) {
+        held = 0;
+    }
+    return pendingOutput() + static_cast<std::size_t>(std::max(held, 0));
+}
+
 int TcpStream::error() const
 {
     return m_error;
--- a/src/framework/eventloop/tcpstream.h
+++ b/src/framework/eventloop/tcpstream.h
@@ -63,6 +63,11 @@
     /** Returns the received bytes that the listener has not consumed. */
     [[nodiscard]] std::string &input();
     [[nodiscard]] std::size_t pendingOutput() const;
+    /**
+     * Returns the bytes that the other end has not acknowledged: pending output, and what the operating system holds.
+     * An end of the other side acknowledges all that its system had received before.
+     */
+    [[nodiscard]] std::size_t unacknowledgedOutput() const;
     /** Returns the error of the first send or peek that failed (`errno`); 0 if none has. */
     [[nodiscard]] int error() const;
     /** Returns the number of bytes that the operating system has accepted in all. */
--- a/src/framework/eventloop/tests/tcpstreamtests.cpp
+++ b/src/framework/eventloop/tests/tcpstreamtests.cpp
@@ -122,3 +122,18 @@
     CHECK(connected.recorded.input == "whole");
     CHECK((connected.recorded.stream->pendingOutput() > 0) == hasOutput);
 }
+
+TEST_CASE("output that the system holds counts as unacknowledged when the other end closes without having taken it")
+{
+    // Guards against taking a request for sent that only the buffers of this end hold.
+    const std::size_t size = GENERATE(std::size_t{1000}, std::size_t{400'000});
+    Connected connected;
+    connected.recorded.stream->write(std::string(size, 'x'));
+    connected.loop.after(Milliseconds(50), [&] {
+        CHECK(connected.recorded.stream->pendingOutput() == 0);
+        connected.peer.shutdownSend();
+    });
+    connected.runUntilEnd();
+    CHECK(connected.recorded.end == StreamEnd::Closed);
+    CHECK((connected.recorded.stream->unacknowledgedOutput() > 0) == (size > 1000));
+}
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -272,12 +272,13 @@
         return;
     }
     if (m_isInBody && !m_isSkippingResponse && m_body.framing() == httpwire::BodyFraming::UntilClose) {
+        const std::size_t untaken = m_stream->unacknowledgedOutput();
         logging::write(logging::Level::Info, "gateway", "unframed_answer_ended",
             {{"request", std::string_view(m_request.requestId)}, {"upstream", std::string_view(m_request.address)},
                 {"closed", end == eventloop::StreamEnd::Closed}, {"error", std::int64_t{m_stream->error()}},
-                {"unsent_bytes", std::uint64_t{m_stream->pendingOutput()}}});
+                {"unsent_bytes", std::uint64_t{m_stream->pendingOutput()}}, {"untaken_bytes", std::uint64_t{untaken}}});
         // A sound upstream takes the whole request before it closes.
-        if (end == eventloop::StreamEnd::Closed && m_stream->pendingOutput() == 0) {
+        if (end == eventloop::StreamEnd::Closed && untaken == 0) {
             complete(false);
             return;
         }
--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -17,6 +17,8 @@
 
 /** More than the buffers of a connection hold. */
 constexpr std::size_t largeBodySize = 32 * 1024 * 1024;
+/** More than the system accepts for a connection whose reader stops early, and less than it holds at both ends. */
+constexpr std::size_t heldBodySize = 1024 * 1024;
 
 void respondOk(Connection &connection, const std::string &request, int /*number*/)
 {
@@ -425,6 +427,8 @@
     // A crashed process leaves unread bytes, for which its system resets the connection.
     const bool isCrash = GENERATE(true, false);
     const RouteKind kind = GENERATE(RouteKind::AtMostOnce, RouteKind::Idempotent, RouteKind::Stream);
+    // The smaller body fits into the buffers of the system, so that nothing of it is left to be written.
+    const std::size_t bodySize = GENERATE(largeBodySize, heldBodySize);
     GatewayFixture fixture;
     int count = 0;
     const auto script = [&](Connection &connection, const std::string &request, int /*number*/) {
@@ -448,7 +452,7 @@
     };
     fixture.addUpstream("service", script).setRespondingEarly();
     fixture.addUpstream("service", script).setRespondingEarly();
-    fixture.runRequest(fixture.makeRoute(kind), "id-1", std::string(largeBodySize, 'b'));
+    fixture.runRequest(fixture.makeRoute(kind), "id-1", std::string(bodySize, 'b'));
     const bool isRepeatable = kind != RouteKind::AtMostOnce;
     CHECK(fixture.response.head.status == (isRepeatable ? 200 : 502));
     CHECK(fixture.response.body == (kind == RouteKind::Stream ? eventsText(1, 3) : isRepeatable ? "ok" : ""));
--- a/src/gateway/tests/gatewayfleet.cpp
+++ b/src/gateway/tests/gatewayfleet.cpp
@@ -463,12 +463,12 @@
 }
 
 std::shared_ptr<FleetCaller> GatewayFleet::send(std::size_t gateway, const std::string &id, const std::string &path,
-    const std::string &moreFields, const std::string &deadlineMs)
+    const std::string &moreFields, const std::string &deadlineMs, const std::string &body)
 {
     auto caller = std::make_shared<FleetCaller>();
     caller->stream = eventloop::TcpStream::connect(loop, callerAddress(gateway), *caller, {});
     caller->stream->write("POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline: " + deadlineMs
-        + "\r\n" + moreFields + "Content-Length: 4\r\n\r\nbody");
+        + "\r\n" + moreFields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     m_callers.push_back(caller);
     return caller;
 }
--- a/src/gateway/tests/gatewayfleet.h
+++ b/src/gateway/tests/gatewayfleet.h
@@ -102,7 +102,7 @@
      * and "/stream/" are resumable streams.
      */
     std::shared_ptr<FleetCaller> send(std::size_t gateway, const std::string &id, const std::string &path,
-        const std::string &moreFields = {}, const std::string &deadlineMs = "4000");
+        const std::string &moreFields = {}, const std::string &deadlineMs = "4000", const std::string &body = "body");
     /** Runs the event loop until `isDone` returns true; returns whether it did within `time`. */
     bool runUntil(const std::function<bool()> &isDone, Milliseconds time = Milliseconds(5000));
     void runFor(Milliseconds time);
--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -419,3 +419,43 @@
         return it["state"] == "leaving";
     }) == 1);
 }
+
+TEST_CASE("part of an answer without a length is not handed out as the whole for an upload that a peer passes on")
+{
+    const bool isReset = GENERATE(true, false);
+    const std::string path = GENERATE("/once/x", "/safe/x");
+    // Within and beyond what the system holds of it.
+    const std::size_t uploadSize = GENERATE(std::size_t{1'000'000}, std::size_t{3'000'000});
+    GatewayFleet fleet({"a", "a"});
+    for (std::size_t i = 0; i < engineCount; ++i) {
+        fleet.addUpstream("engine", respond);
+    }
+    for (std::size_t i = 0; i < serviceCount; ++i) {
+        fleet.addUpstream("app", [&fleet, isReset](Connection &connection, const std::string &request, int number) {
+            if (headerField(request, "Request-Id") != "upload") {
+                respond(connection, request, number);
+                return;
+            }
+            connection.send("HTTP/1.1 200 OK\r\nRequest-Id: upload\r\nResponse-Signature: s\r\n\r\npart");
+            fleet.loop.after(Milliseconds(20), [stream = connection.stream, isReset] {
+                if (isReset) {
+                    stream->reset();
+                } else {
+                    stream->shutdownOutput();
+                }
+            });
+        });
+    }
+    fleet.start();
+    fleet.cut(0, Cut::Refusing);
+    fleet.run(0, "first", "/safe/x");
+    for (std::size_t i = engineCount; i < engineCount + serviceCount; ++i) {
+        fleet.upstream(1, i).setRespondingEarly();
+    }
+    const auto caller = fleet.send(0, "upload", path, {}, "4000", std::string(uploadSize, 'u'));
+    fleet.runUntil([&] {
+        return caller->isComplete() || caller->hasEnded;
+    });
+    CHECK(caller->status() == 502);
+    CHECK(caller->body().empty());
+}
