Spoiled status lines are no answers

Cause: readResponseHead() took everything after three digits for the reason without a look at it, and Poco, which reads the status in `serve`, accepts any number of up to three characters.

Change: the status is three digits from 100 to 599, followed by nothing or by a space and a reason without control characters; the client of `serve` takes answers with a status from 200 to 599 only.

--- a/src/framework/httpwire/internal/messagereader.cpp
+++ b/src/framework/httpwire/internal/messagereader.cpp
@@ -161,7 +161,12 @@
     if (ec != std::errc() || end != digits.data() + digits.size() || parsed.status < 100 || parsed.status > 599) {
         return ReadState::Malformed;
     }
-    parsed.reason = trimmed(line.substr(versionLength + 4));
+    const std::string_view afterStatus = line.substr(versionLength + 4);
+    if ((!afterStatus.empty() && afterStatus.front() != ' ')
+        || !std::all_of(afterStatus.begin(), afterStatus.end(), isFieldValueChar)) {
+        return ReadState::Malformed;
+    }
+    parsed.reason = trimmed(afterStatus);
     const std::string_view rest = lineEnd < text.size() ? text.substr(lineEnd + 2) : std::string_view();
     if (!readFields(rest, parsed.fields)) {
         return ReadState::Malformed;
--- a/src/framework/httpwire/tests/httpwiretests.cpp
+++ b/src/framework/httpwire/tests/httpwiretests.cpp
@@ -116,6 +116,31 @@
     CHECK(readResponseHead(input, limit, head) == ReadState::Malformed);
 }
 
+TEST_CASE("a status line is accepted with three digits and a printable reason only")
+{
+    // Guards against answers whose spoiled status line is handed to the caller.
+    const auto read = [](std::string line, ResponseHead &head) {
+        line += "\r\nA: b\r\n\r\n";
+        return readResponseHead(line, limit, head);
+    };
+    ResponseHead head;
+    for (const char *line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 -20 OK",
+             "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK",
+             "HTTP/1.1 200\tOK", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x0B", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7F",
+             "HTTP/1.1 200 OK\nB: c", "HTTP/1.1 200\n", "HTTP/1.1 200 OK\r"}) {
+        INFO(line);
+        CHECK(read(line, head) == ReadState::Malformed);
+    }
+    CHECK(read(std::string("HTTP/1.1 200 O\0K", 16), head) == ReadState::Malformed);
+    for (const char *line : {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK"}) {
+        INFO(line);
+        REQUIRE(read(line, head) == ReadState::Complete);
+        CHECK(head.status == 200);
+    }
+    REQUIRE(read("HTTP/1.1 404 Not\tFound \xE9", head) == ReadState::Complete);
+    CHECK(head.reason == "Not\tFound \xE9");
+}
+
 TEST_CASE("random bytes never crash the parsers, and a serialised head is parsed back unchanged")
 {
     Random random(7);
--- a/src/gateway/tests/cutanswertests.cpp
+++ b/src/gateway/tests/cutanswertests.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace magnolia;
 using namespace magnolia::gateway;
 using namespace magnolia::gateway::tests;
@@ -105,3 +107,33 @@
         }
     }
 }
+
+TEST_CASE("an answer whose status line is spoiled does not reach the caller")
+{
+    const std::string statusLine = GENERATE(as<std::string>(), "HTTP/1.1 000 OK\r\n", "HTTP/1.1 2000 OK\r\n",
+        "HTTP/1.1 200OK\r\n", "HTTP/1.1 200 O\x0B\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 600 OK\r\n");
+    const RouteKind kind = GENERATE(RouteKind::AtMostOnce, RouteKind::Idempotent, RouteKind::Stream);
+    INFO(statusLine);
+    GatewayFixture fixture;
+    bool isFirst = true;
+    const auto script = [&](Connection &connection, const std::string &received, int /*number*/) {
+        if (!std::exchange(isFirst, false)) {
+            connection.send(laterAnswer(received, kind));
+            return;
+        }
+        const std::string answer = plainResponse(received, 200, wholeBody(kind));
+        connection.send(statusLine + answer.substr(answer.find("\r\n") + 2));
+    };
+    fixture.addUpstream("service", script);
+    fixture.addUpstream("service", script);
+    fixture.runRequest(fixture.makeRoute(kind));
+    REQUIRE(fixture.response.isFinished());
+    if (kind == RouteKind::AtMostOnce) {
+        CHECK(fixture.response.head.status == 502);
+        CHECK(fixture.response.body.empty());
+    } else {
+        CHECK(fixture.response.head.status == 200);
+        CHECK(fixture.response.head.reason == "X");
+        CHECK(fixture.response.body == (kind == RouteKind::Stream ? wholeBody(kind) : "another"));
+    }
+}
--- a/src/upstreams/internal/httpupstreamanswer.cpp
+++ b/src/upstreams/internal/httpupstreamanswer.cpp
@@ -15,6 +15,10 @@
 // Poco does not read the CRLF that ends a chunk until it needs the next chunk.
 constexpr int unreadChunkEndBytes = 2;
 
+// Poco accepts any number of up to three digits.
+constexpr int minFinalStatus = 200;
+constexpr int maxStatus = 599;
+
 Poco::Timespan toTimespan(Milliseconds duration)
 {
     return Poco::Timespan(Poco::Timespan::MILLISECONDS * std::max<Milliseconds::rep>(duration.count(), 0));
@@ -52,7 +56,12 @@
         if (!isReadable(wait, 0)) {
             return ReceiveState::Waiting;
         }
-        m_body = &m_session->receiveResponse(m_response);
+        std::istream &body = m_session->receiveResponse(m_response);
+        const int status = static_cast<int>(m_response.getStatus());
+        if (status < minFinalStatus || status > maxStatus) {
+            return ReceiveState::Broken;
+        }
+        m_body = &body;
         return ReceiveState::Data;
     } catch (const Poco::Exception &) {
         return ReceiveState::Broken;
--- a/src/upstreams/tests/httpupstreamclienttests.cpp
+++ b/src/upstreams/tests/httpupstreamclienttests.cpp
@@ -234,3 +234,18 @@
         REQUIRE(readAll(**answer).end == ReceiveState::Broken);
     }
 }
+
+TEST_CASE("an answer whose status line is spoiled is broken")
+{
+    // Guards against a status of 000 that is handed to the caller.
+    const auto client = makeHttpUpstreamClient();
+    for (const std::string statusLine : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 -20 OK",
+             "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK", "HTTP/1.1 abc OK"}) {
+        INFO(statusLine);
+        const ScriptedServer server(statusLine + "\r\nX-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok", false);
+        const auto answer = client->send(makeCall(server.address()), allowDispatch);
+        REQUIRE(answer.has_value());
+        CHECK((*answer)->awaitHead(longWait) == ReceiveState::Broken);
+        CHECK((*answer)->status() == 0);
+    }
+}
