Tests: an upstream that leaves a body unread has a receive buffer of fixed size

The receive buffer of the scripted upstream had grown, so that its system had taken the whole body; nothing tells such an answer from a whole one. A size that is set by hand does not grow.

--- a/src/gateway/tests/exchangetests.cpp
+++ b/src/gateway/tests/exchangetests.cpp
@@ -17,7 +17,7 @@
 
 /** More than the buffers of a connection hold. */
 constexpr std::size_t largeBodySize = 32 * 1024 * 1024;
-/** More than the system accepts for a connection whose reader stops early, and less than it holds at both ends. */
+/** Less than the system takes from its sender at once, and more than it does for a reader that stops early. */
 constexpr std::size_t heldBodySize = 1024 * 1024;
 
 void respondOk(Connection &connection, const std::string &request, int /*number*/)
--- a/src/gateway/tests/partitiontests.cpp
+++ b/src/gateway/tests/partitiontests.cpp
@@ -424,7 +424,6 @@
 {
     const bool isReset = GENERATE(true, false);
     const std::string path = GENERATE("/once/x", "/safe/x");
-    // Within and beyond what the system holds of it.
     const std::size_t uploadSize = GENERATE(std::size_t{1'000'000}, std::size_t{3'000'000});
     GatewayFleet fleet({"a", "a"});
     for (std::size_t i = 0; i < engineCount; ++i) {
--- a/src/gateway/tests/scriptedupstream.cpp
+++ b/src/gateway/tests/scriptedupstream.cpp
@@ -156,6 +156,9 @@
 void ScriptedUpstream::setRespondingEarly()
 {
     m_isRespondingEarly = true;
+    // Set by hand, the buffer does not grow, so that the system never takes a whole large body.
+    constexpr int receiveBuffer = 16 * 1024;
+    m_socket.setReceiveBufferSize(receiveBuffer);
 }
 
 std::string ScriptedUpstream::address() const
