Plain answers join the order only while memory is short

Nearly all answers end before memory is short; they need no place in the order, whose two tree entries cost each of them allocations. The tests of the order and answermemorytests pass as before.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -220,7 +220,7 @@
     httpwire::ResponseHead m_upstreamHead;
     std::string m_upstreamBody;
     memory::HeldBytes m_heldAnswer;
-    // Place of the current plain answer, from its first bytes on.
+    // Place of the current plain answer, once answers take turns.
     std::optional<memory::AnswerOrder::AnswerId> m_answerId;
     // Whether the answer of the current attempt has been paused for memory.
     bool m_wasAnswerPaused = false;
--- a/src/gateway/internal/exchangeresponses.cpp
+++ b/src/gateway/internal/exchangeresponses.cpp
@@ -137,6 +137,9 @@
         return;
     }
     if (!m_answerId) {
+        if (!m_context.answers.isInForce()) {
+            return;
+        }
         m_answerId = m_context.answers.add();
     }
     m_context.answers.recordBytes(*m_answerId, answerBytesLeft());
--- a/src/memory/answerorder.h
+++ b/src/memory/answerorder.h
@@ -27,6 +27,8 @@
     /** The account must outlive this object. */
     explicit AnswerOrder(const MemoryAccount &account);
 
+    /** Whether memory is so short that answers take turns; an answer that is read before need not be added. */
+    [[nodiscard]] bool isInForce() const;
     [[nodiscard]] AnswerId add();
     void remove(AnswerId id);
     /** Records that bytes of an answer have arrived and that up to `left` bytes are still to come. */
--- a/src/memory/internal/answerorder.cpp
+++ b/src/memory/internal/answerorder.cpp
@@ -26,6 +26,12 @@
 {
 }
 
+bool AnswerOrder::isInForce() const
+{
+    const MemoryLimits &limits = m_account.limits();
+    return limits.isLimited() && m_account.held() >= orderedFrom(limits);
+}
+
 AnswerOrder::AnswerId AnswerOrder::add()
 {
     ++m_lastId;
@@ -57,13 +63,12 @@
 bool AnswerOrder::mayRead(AnswerId id, MonoTime now)
 {
     const auto known = m_answers.find(id);
-    const MemoryLimits &limits = m_account.limits();
-    if (!limits.isLimited() || known == m_answers.end()) {
+    if (known == m_answers.end()) {
         return true;
     }
     known->second.askedAt = now;
-    const Bytes held = m_account.held();
-    return held < orderedFrom(limits) || (held + known->second.left <= limits.ceiling && isFirst(id, now));
+    const bool fits = m_account.held() + known->second.left <= m_account.limits().ceiling;
+    return !isInForce() || (fits && isFirst(id, now));
 }
 
 bool AnswerOrder::isFirst(AnswerId id, MonoTime now) const
--- a/src/memory/tests/answerordertests.cpp
+++ b/src/memory/tests/answerordertests.cpp
@@ -29,11 +29,13 @@
     const auto second = order.add();
     order.recordBytes(first, answerSize);
     order.recordBytes(second, Bytes{1});
+    CHECK_FALSE(order.isInForce());
     CHECK(order.mayRead(first, start));
     CHECK(order.mayRead(second, start));
     MemoryAccount unlimited(memoryLimits(Bytes{0}));
     unlimited.add(MemoryKind::Output, Bytes{10'000'000'000});
     AnswerOrder unlimitedOrder(unlimited);
+    CHECK_FALSE(unlimitedOrder.isInForce());
     CHECK(unlimitedOrder.mayRead(unlimitedOrder.add(), start));
 }
 
@@ -46,6 +48,7 @@
     const auto small = order.add();
     order.recordBytes(large, answerSize);
     order.recordBytes(small, Bytes{1000});
+    CHECK(order.isInForce());
     CHECK(order.mayRead(small, start));
     CHECK_FALSE(order.mayRead(large, start));
     SECTION("the next one follows when it has ended")
