--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -103,8 +103,8 @@
     /**
      * Returns the caller addresses of the peers that accept callers. A silent peer may have been lost, and is returned
      * only if this instance has lost contact with everything (see hasLostContact()). Partitioned peers are returned
-     * only if no other peer is live and this instance is not named or partitioned itself. If `isAllowed` is set, only
-     * peers for which it returns true are considered for the answer.
+     * only if no other peer is live, and this instance is partitioned as well or is not named. If `isAllowed` is set,
+     * only peers for which it returns true are considered for the answer.
      */
     [[nodiscard]] std::vector<std::string> callerAddresses(
         MonoTime now, OwnReach reach, const std::function<bool(const Peer &peer)> &isAllowed = {}) const;
--- a/src/memory/answerorder.h
+++ b/src/memory/answerorder.h
@@ -33,7 +33,10 @@
     void remove(AnswerId id);
     /** Records that bytes of an answer have arrived and that up to `left` bytes are still to come. */
     void recordBytes(AnswerId id, Bytes left);
-    /** Whether more of an answer may be read now. It asks after each read, and again and again while it may not. */
+    /**
+     * Whether more of an answer may be read now. To be asked after each read, and every few milliseconds while the
+     * result is false: an answer for which nothing was asked lately no longer keeps others waiting.
+     */
     [[nodiscard]] bool mayRead(AnswerId id, MonoTime now);
 
 private:
