--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# An instance gets SIGTERM while requesters read their answers slowly. Exits with 1 if an answer is cut off.
+# Requesters read large answers slowly. Exits with 1 if the instance exceeds its memory and their channels end.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-build-review-3/stopslowreaders review/11 "$folder"
+build-review-3/memoryslowreaders review/11 "$folder"
