Review: streams taken late in a planned stop are cut at its end

Case 11 shows LOST with a script: a stopping instance takes requests on kept channels 3.8 s after its SIGTERM, passes them on and cuts them at the end of the grace period. Cause: streams are admitted by the decoding time of an undisturbed engine. The other cases are numbered anew.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Requesters read large answers slowly. Exits with 1 if the instance exceeds its memory and their channels end.
+# Streams are asked for late in the grace period of a planned stop. Exits with 1 if one is passed on and cut off.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-build-review-3/memoryslowreaders review/11 "$folder"
+build-review-3/stoplatestreams review/11 "$folder"
--- a/review/stage-3/idleslowreaders.cpp
+++ b/review/stage-3/idleslowreaders.cpp
@@ -1,4 +1,4 @@
-// Case 13: a configuration shortens the idle time of channels while requesters read their answers slowly.
+// Case 14: a configuration shortens the idle time of channels while requesters read their answers slowly.
 #include "stage.h"
 
 #include <limits>
--- a/review/stage-3/memoryconfigurations.cpp
+++ b/review/stage-3/memoryconfigurations.cpp
@@ -1,4 +1,4 @@
-// Case 12: configurations with many keys come in quick succession while requests are in progress.
+// Case 13: configurations with many keys come in quick succession while requests are in progress.
 #include "stage.h"
 
 namespace
--- a/review/stage-3/memoryslowreaders.cpp
+++ b/review/stage-3/memoryslowreaders.cpp
@@ -1,4 +1,4 @@
-// Case 11: requesters read large answers slowly, and the memory of the instance that holds the answers is limited.
+// Case 12: requesters read large answers slowly, and the memory of the instance that holds the answers is limited.
 #include "stage.h"
 
 namespace
