--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/../.."
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
+[ -x build-review-3/stoplatestreams ] && [ -x target/src/app/magnoliastream ] || exit 2
 build-review-3/stoplatestreams review/11 "$folder"
--- a/review/stage-3/stage.h
+++ b/review/stage-3/stage.h
@@ -25,6 +25,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 #include <sys/wait.h>
@@ -599,6 +600,8 @@
         std::fclose(file);
         m_pid = ::fork();
         if (m_pid == 0) {
+            // The process ends with the script, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open((m_folder + "/" + m_name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
