Logs: the time left for a request that is placed while its instance stops

The log named the expected first event of such a request, but neither the time until its deadline nor the time until the process ends, so that "the estimate is too short" could not be told from "the deadline lies after the end".

`placed` has `remaining_ms` and `until_stop_ms` while the instance stops.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -489,6 +489,11 @@
         fields.push_back({"cold_withheld", std::uint64_t{m_coldWithheld}});
         fields.push_back({"cold", isOnCold});
     }
+    if (m_context.stopDeadline) {
+        const Milliseconds untilStop = toMilliseconds(*m_context.stopDeadline - m_context.loop.now());
+        fields.push_back({"remaining_ms", std::int64_t{remainingTime().count()}});
+        fields.push_back({"until_stop_ms", std::int64_t{untilStop.count()}});
+    }
     logging::write(logging::Level::Info, "gateway", "placed", fields);
     if (m_coldWithheld > 0) {
         m_context.metrics.increment("magnolia_gateway_cold_withheld_total");
