A plain request whose upstream broke off late in a stop is sent again

What callers saw: 502 for a request that may be repeated, at once, when its upstream broke off after the first 2 s of a planned stop and its deadline lay after the end.

Cause: `place()` gave up each plain request that might outlast the process, also one that may have run already. That can't be refused as not run; its caller got 502 though another upstream could answer in time.

Mend: only a request that certainly hasn't run is refused in favour of another instance. One that may have run is sent again if it is expected to end in time, and still gets its answer at the end of the process if it doesn't. Streams did so before.

Test: "a request that may be repeated is sent again late in a stop after its upstream has broken off" (502 and one send before).

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -424,7 +424,9 @@
         return;
     }
     const bool isStrictAdmission = m_context.stopDeadline && m_context.loop.now() >= m_context.strictAdmissionFrom;
-    if (isStrictAdmission && !isStream() && availableTime() < remainingTime()) {
+    // A request that may have run cannot be refused as not run any more; it is sent again if it is expected to end in
+    // time.
+    if (isStrictAdmission && !isStream() && m_attempts.hasCertainlyNotRun() && availableTime() < remainingTime()) {
         // The upstream may use all of the caller's time, which ends after the stop.
         giveUp("stopping", Milliseconds{0});
         return;
--- /dev/null
+++ b/src/gateway/tests/stopexchangetests.cpp
@@ -0,0 +1,104 @@
+// Checks which requests a stopping instance still sends to upstreams after they have waited or an attempt has failed.
+#include "gatewayfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace magnolia;
+using namespace magnolia::gateway;
+using namespace magnolia::gateway::tests;
+using catalogue::RouteKind;
+
+namespace
+{
+
+using Connection = ScriptedUpstream::Connection;
+
+constexpr Milliseconds stopGracePeriod{8000};
+/** Time in which a stopping instance admits requests by their expected end. */
+constexpr Milliseconds lenientTime{50};
+/** Time after which upstreams answer, when admission is strict. */
+constexpr Milliseconds answerTime{150};
+
+/** An instance that has begun to stop, before three engines. */
+struct StoppingInstance : GatewayFixture
+{
+    explicit StoppingInstance(const ScriptedUpstream::Script &script)
+    {
+        for (int i = 0; i < 3; ++i) {
+            addUpstream("service", script);
+        }
+        catalogue::EngineModel engine;
+        engine.slots = 4;
+        engine.kvCapacityTokens = 1000;
+        engine.prefillTokensPerMs = 100;
+        engine.chunkTokens = 100;
+        catalogue->services["service"].engine = engine;
+    }
+
+    /** Begins a request that does not fit on one engine if it has more than 1,000 tokens of prompt. */
+    std::shared_ptr<Exchange> begin(RouteKind kind, const std::string &deadlineMs, const std::string &tokens)
+    {
+        context.stopDeadline = loop.now() + stopGracePeriod;
+        context.strictAdmissionFrom = loop.now() + lenientTime;
+        httpwire::RequestHead head = makeRequest("id-1");
+        head.fields.remove("Deadline");
+        head.fields.add("Deadline", deadlineMs);
+        head.fields.add("Tokens", tokens);
+        catalogue::Route newRoute = makeRoute(kind);
+        newRoute.timeout = Milliseconds(20'000);
+        return beginRequest(newRoute, std::move(head), "body");
+    }
+
+    void runUntilAnswered()
+    {
+        runUntil([&] {
+            return response.isFinished();
+        });
+    }
+
+    /** Number of requests, without orders, that upstreams have received. */
+    [[nodiscard]] int requestCount() const
+    {
+        int count = 0;
+        for (const auto &upstream : upstreams) {
+            for (const std::string &it : upstream->requests) {
+                count += it.starts_with("POST /order") ? 0 : 1;
+            }
+        }
+        return count;
+    }
+};
+
+void respondWithEvent(Connection &connection, const std::string &request)
+{
+    connection.send(eventStreamHead(request) + eventChunk(1) + "0\r\n\r\n");
+}
+
+} // namespace
+
+TEST_CASE("a request that may be repeated is sent again late in a stop after its upstream has broken off")
+{
+    // Guards against failures of requests that other upstreams can answer in time: what may have run cannot be refused.
+    const RouteKind kind = GENERATE(RouteKind::Stream, RouteKind::Idempotent);
+    int sends = 0;
+    StoppingInstance *self = nullptr;
+    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+        if (++sends > 1) {
+            if (kind == RouteKind::Stream) {
+                respondWithEvent(connection, request);
+            } else {
+                connection.send(plainResponse(request, 200, "ok"));
+            }
+            return;
+        }
+        self->loop.after(answerTime, [stream = connection.stream] {
+            stream->reset();
+        });
+    });
+    self = &instance;
+    const auto exchange = instance.begin(kind, "15000", "100, 20");
+    instance.runUntilAnswered();
+    CHECK(sends == 2);
+    CHECK(instance.response.isComplete);
+    CHECK(instance.response.head.status == 200);
+}
