Streams that may outlast a stopping process are refused, also second attempts

Cause: late in a stop a plain request is refused if its deadline lies after the end of the process. A stream was left out of that and taken if 1.5 times the decoding time of the engine's model fitted in. That is an estimate: the engine reads other prompts between the events, and the operator's gap target allows it 250 ms for an event that the model expects after 50 ms.

Mend: all kinds are bounded in the same way, by the deadline of the caller or the timeout of the route, when a request is placed. That holds for a second attempt too, as long as no attempt may have run: 503, not run, with the time to come back and the end of the connection. What surely ends in time is served; the correction of the estimate, which refused some of it, is gone. It works since nothing but the deadline ends an answer whose upstream is slow.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -34,8 +34,6 @@
 
 /** New work must end at least this long before the process ends. */
 constexpr Milliseconds stopMargin{900};
-/** Maximum factor by which concurrent prefills slow down the decoding of a response. */
-constexpr double maxDecodeSlowdown = 1.5;
 
 std::string_view trimmed(std::string_view text)
 {
@@ -377,15 +375,25 @@
     if (!m_context.stopDeadline || m_hasResponseBegun) {
         return remainingTime();
     }
-    const MonoTime now = m_context.loop.now();
-    Milliseconds untilStop = toMilliseconds(*m_context.stopDeadline - stopMargin - now);
-    if (const catalogue::EngineModel *const engine = engineOf(m_service);
-        engine != nullptr && now >= m_context.strictAdmissionFrom) {
-        // The response must end before the process even with its maximum output on a busy engine.
-        untilStop -= Milliseconds(
-            static_cast<std::int64_t>(decodeMs(*engine, m_maxOutputTokens) * maxDecodeSlowdown - decodeMs(*engine)));
+    return std::min(remainingTime(), toMilliseconds(*m_context.stopDeadline - stopMargin - m_context.loop.now()));
+}
+
+bool Exchange::mustBeRefusedInStop() const
+{
+    const bool isStrict = m_context.stopDeadline && m_context.loop.now() >= m_context.strictAdmissionFrom;
+    // The time that an upstream needs depends on its other requests, so that only the deadline bounds it. A request
+    // that may have run cannot be refused as not run any more; it is sent again if it is expected to end in time.
+    return isStrict && m_attempts.possibleRunCount() == 0 && availableTime() < remainingTime();
+}
+
+bool Exchange::refuseIfStopping()
+{
+    if (!mustBeRefusedInStop()) {
+        return false;
     }
-    return std::min(remainingTime(), untilStop);
+    // Other instances can take the request at once.
+    giveUp("stopping", Milliseconds{0});
+    return true;
 }
 
 std::vector<std::string> Exchange::helperIds(const placement::Decision &decision) const
@@ -423,12 +431,7 @@
         giveUp("stopping", Milliseconds{0});
         return;
     }
-    const bool isStrictAdmission = m_context.stopDeadline && m_context.loop.now() >= m_context.strictAdmissionFrom;
-    // A request that may have run cannot be refused as not run any more; it is sent again if it is expected to end in
-    // time.
-    if (isStrictAdmission && !isStream() && m_attempts.hasCertainlyNotRun() && availableTime() < remainingTime()) {
-        // The upstream may use all of the caller's time, which ends after the stop.
-        giveUp("stopping", Milliseconds{0});
+    if (refuseIfStopping()) {
         return;
     }
     if (mayRelay() && relay()) {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -73,6 +73,10 @@
     bool refuseIfQuarantined();
     /** Ids of the parts of the prompt that other requests may share. */
     [[nodiscard]] std::vector<std::string> sharedParts() const;
+    /** Whether the instance stops and the request, which has certainly not run, might not end before the process. */
+    [[nodiscard]] bool mustBeRefusedInStop() const;
+    /** Gives up if the request must be refused in a stop; returns whether it did. */
+    bool refuseIfStopping();
     void place();
     void startAttempt(const placement::Decision &decision);
     void recordReportedLoad();
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -81,7 +81,7 @@
     /** Latest end of the process; set when a stop has been requested. */
     std::optional<MonoTime> stopDeadline;
     /** Before this time a stopping process admits requests that are expected to finish in time; from then on only
-     * requests that finish in time even with their maximum output. */
+     * requests whose deadline lies before its end. */
     MonoTime strictAdmissionFrom{};
 };
 
--- a/src/gateway/tests/stopexchangetests.cpp
+++ b/src/gateway/tests/stopexchangetests.cpp
@@ -76,6 +76,34 @@
 
 } // namespace
 
+TEST_CASE("a request that an upstream refuses late in a stop is not sent to another one if it may outlast the process")
+{
+    // Guards against second attempts that begin late in a stop and are cut at its end.
+    const RouteKind kind = GENERATE(RouteKind::Stream, RouteKind::Idempotent, RouteKind::AtMostOnce);
+    const bool isDeadlineBeforeEnd = GENERATE(false, true);
+    int sends = 0;
+    StoppingInstance *self = nullptr;
+    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+        if (++sends > 1) {
+            if (kind == RouteKind::Stream) {
+                respondWithEvent(connection, request);
+            } else {
+                connection.send(plainResponse(request, 200, "ok"));
+            }
+            return;
+        }
+        self->loop.after(answerTime, [stream = connection.stream, refusal = plainResponse(request, 421, {})] {
+            stream->write(refusal);
+        });
+    });
+    self = &instance;
+    const auto exchange = instance.begin(kind, isDeadlineBeforeEnd ? "3000" : "15000", "100, 20");
+    instance.runUntilAnswered();
+    CHECK(sends == (isDeadlineBeforeEnd ? 2 : 1));
+    CHECK(instance.response.head.status == (isDeadlineBeforeEnd ? 200 : 503));
+    CHECK(instance.response.head.fields.has("Retry-After") == !isDeadlineBeforeEnd);
+}
+
 TEST_CASE("a request that may be repeated is sent again late in a stop after its upstream has broken off")
 {
     // Guards against failures of requests that other upstreams can answer in time: what may have run cannot be refused.
--- a/src/gateway/tests/stoptests.cpp
+++ b/src/gateway/tests/stoptests.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <set>
+#include <string_view>
 
 using namespace magnolia;
 using namespace magnolia::gateway;
@@ -35,6 +37,81 @@
     return request.path == "/stream/begun" && request.caller->status() == 200;
 }
 
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+std::string requestHead(
+    const std::string &id, const std::string &path, const std::string &deadlineMs, std::size_t bodySize = 0)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline: " + deadlineMs
+        + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
+}
+
+/**
+ * A fleet of two gateways before upstreams that answer at once, except for streams to "/stream/kept", which go on until
+ * the test ends them. Their heads are sent before the stop, so that they do not tell that their connections close.
+ */
+struct FleetWithKeptStreams
+{
+    FleetWithKeptStreams()
+        : fleet({"a", "a"})
+    {
+        const auto script = [this](Connection &connection, const std::string &request, int /*number*/) {
+            const std::string id = headerField(request, "Request-Id");
+            received.insert(id);
+            if (request.starts_with("POST /stream/kept")) {
+                connection.send(eventStreamHead(request) + eventChunk(1));
+                keptStreams[id] = connection.stream;
+            } else if (request.starts_with("POST /stream/")) {
+                connection.send(eventStreamHead(request) + eventChunk(1) + std::string(lastChunk));
+            } else {
+                connection.send(plainResponse(request, 200, "ok"));
+            }
+        };
+        for (int i = 0; i < 4; ++i) {
+            fleet.addUpstream("engine", script);
+            fleet.addUpstream("app", script);
+        }
+        fleet.setRouteTimeout(Milliseconds(20'000));
+        fleet.start();
+    }
+
+    std::shared_ptr<FleetCaller> beginKeptStream(const std::string &id)
+    {
+        auto caller = fleet.send(0, id, "/stream/kept", {}, "15000");
+        const bool hasBegun = fleet.runUntil([&] {
+            return caller->status() == 200;
+        });
+        REQUIRE(hasBegun);
+        return caller;
+    }
+
+    void endKeptStream(const std::string &id)
+    {
+        keptStreams[id]->write(lastChunk);
+    }
+
+    GatewayFleet fleet;
+    /** Ids of the requests that upstreams have received. */
+    std::set<std::string> received;
+    std::map<std::string, std::shared_ptr<eventloop::TcpStream>> keptStreams;
+};
+
+/** Returns the bytes that a caller has received after its first stream; empty while that goes on. */
+std::string bytesAfterStream(const FleetCaller &caller)
+{
+    const std::size_t at = caller.received.find(lastChunk);
+    return at == std::string::npos ? std::string() : caller.received.substr(at + lastChunk.size());
+}
+
+/** Checks that `answer` says that request `id` has not run, when to come back, and that the connection ends. */
+void checkNotRun(const std::string &answer, const std::string &id)
+{
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(headerField(answer, "Request-Id") == id);
+    CHECK_FALSE(headerField(answer, "Retry-After").empty());
+    CHECK(headerField(answer, "Connection") == "close");
+}
+
 } // namespace
 
 TEST_CASE("at the end of a planned stop no request that an upstream has received is cut without an answer")
@@ -166,3 +243,51 @@
     fleet.runFor(Milliseconds(400));
     CHECK(after->received.empty());
 }
+
+TEST_CASE("in a planned stop a stream whose deadline lies after the end of the process is not passed on")
+{
+    // Guards against streams that are taken late in a stop by an estimate of their work, and cut at its end.
+    FleetWithKeptStreams kept;
+    const std::array<int, 3> laterAtMs{2500, 3700, 4900};
+    const std::array<std::string, 2> deadlinesMs{"10000", "1500"};
+    std::map<std::string, std::shared_ptr<FleetCaller>> callers;
+    for (const int ms : laterAtMs) {
+        for (const std::string &deadlineMs : deadlinesMs) {
+            const std::string id = std::to_string(ms) + '-' + deadlineMs;
+            callers[id] = kept.beginKeptStream("early-" + id);
+            callers["slow-" + id] = kept.beginKeptStream("early-slow-" + id);
+        }
+    }
+    kept.fleet.beginStop(0);
+    for (const int ms : laterAtMs) {
+        for (const std::string &deadlineMs : deadlinesMs) {
+            const std::string id = std::to_string(ms) + '-' + deadlineMs;
+            // The next requests arrive before the answers before them have ended, one of them without its body.
+            kept.fleet.loop.after(Milliseconds(ms), [&, id, deadlineMs] {
+                callers[id]->stream->write(requestHead(id, "/stream/late", deadlineMs));
+                callers["slow-" + id]->stream->write(requestHead("slow-" + id, "/stream/late", deadlineMs, 4) + "bo");
+            });
+            kept.fleet.loop.after(Milliseconds(ms + 50), [&, id] {
+                kept.endKeptStream("early-" + id);
+                kept.endKeptStream("early-slow-" + id);
+            });
+            kept.fleet.loop.after(Milliseconds(ms + 300), [&, id] {
+                callers["slow-" + id]->stream->write("dy");
+            });
+        }
+    }
+    kept.fleet.runFor(stopTime);
+    for (const auto &[id, caller] : callers) {
+        INFO(id << ": " << caller->received);
+        const std::string answer = bytesAfterStream(*caller);
+        CHECK(caller->hasEnded);
+        if (id.ends_with("-10000")) {
+            CHECK_FALSE(kept.received.contains(id));
+            checkNotRun(answer, id);
+        } else {
+            // Its deadline ends it before the process ends.
+            CHECK(answer.starts_with("HTTP/1.1 200 "));
+            CHECK(answer.ends_with(lastChunk));
+        }
+    }
+}
