Requests that wait when admission becomes strict in a stop are checked again before they are sent

What callers would see: a request that is placed early in a stop, when its expected end counts, waits for memory of engines or for a connection, is sent late in the stop and cut at its end.

Cause: whether a stopping instance may pass a request on was decided when it was placed, not when it was sent.

Mend: the same bound is asked once more when the memory is reserved and when the connection stands. Nothing has been sent then, so that the request is refused as not run. A withdrawn relay counts as not sent.

Tests, red before (sent, 200 instead of 503): "a request that waits for memory when admission becomes strict in a stop ...", "a request whose connection stands when admission is strict in a stop ...", "a request is not relayed by a stopping instance once it may outlast the process".

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -636,7 +636,7 @@
             return;
         }
         if (isReserved) {
-            if (self->refuseIfQuarantined()) {
+            if (self->refuseIfQuarantined() || self->refuseIfStopping()) {
                 self->endAttempt(std::nullopt);
                 return;
             }
@@ -702,7 +702,7 @@
     request.bytes = requestBytes(m_decision);
     request.mayStillSend = [weak = weak_from_this()] {
         const auto self = weak.lock();
-        return self && self->isDecisionAllowed();
+        return self && self->isDecisionAllowed() && !self->mustBeRefusedInStop();
     };
     m_upstreamCall
         = std::make_shared<UpstreamCall>(m_context.loop, m_context.connectionPool, std::move(request), *this);
--- a/src/gateway/internal/exchangerelay.cpp
+++ b/src/gateway/internal/exchangerelay.cpp
@@ -72,6 +72,10 @@
         request.maxInput = memory::minStreamBytes;
     }
     request.bytes = relayedRequestBytes();
+    request.mayStillSend = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && !self->mustBeRefusedInStop();
+    };
     m_decision = {};
     m_isRelaying = true;
     m_relayPeers.push_back(peer->instance);
@@ -144,7 +148,7 @@
 
 void Exchange::onRelayFailed(CallFailure failure, const std::string &detail)
 {
-    const bool wasSent = failure != CallFailure::NotConnected;
+    const bool wasSent = failure != CallFailure::NotConnected && failure != CallFailure::Withdrawn;
     logging::write(logging::Level::Info, "gateway", "relay_failed",
         {{"request", std::string_view(m_requestId)}, {"peer", std::string_view(m_relayPeers.back())},
             {"detail", std::string_view(detail)}, {"events_passed", m_forwardedEvents}});
--- a/src/gateway/internal/upstreamcall.cpp
+++ b/src/gateway/internal/upstreamcall.cpp
@@ -119,7 +119,7 @@
 {
     m_loop.cancel(m_connectTimer);
     if (m_request.mayStillSend && !m_request.mayStillSend()) {
-        fail(CallFailure::Withdrawn, "upstream no longer allowed");
+        fail(CallFailure::Withdrawn, "request may no longer be sent");
         return;
     }
     m_settleTimer = m_loop.after(settleTime, [weak = weak_from_this()] {
--- a/src/gateway/tests/relaytests.cpp
+++ b/src/gateway/tests/relaytests.cpp
@@ -248,6 +248,31 @@
     CHECK(instance.relayedCount() == before);
 }
 
+TEST_CASE("a request is not relayed by a stopping instance once it may outlast the process")
+{
+    // Guards against requests that are placed early in a stop, reach a peer late in it and are cut at its end.
+    const bool isDeadlineBeforeEnd = GENERATE(false, true);
+    CutInstance instance;
+    instance.addPeer(respondOk);
+    instance.noticeCut();
+    httpwire::RequestHead head = instance.makeRequest("id-1");
+    head.fields.remove("Deadline");
+    head.fields.add("Deadline", isDeadlineBeforeEnd ? "3000" : "15000");
+    catalogue::Route route = instance.makeRoute(RouteKind::Idempotent);
+    route.timeout = Milliseconds(20'000);
+    instance.context.stopDeadline = instance.loop.now() + Milliseconds(8000);
+    instance.context.strictAdmissionFrom = instance.loop.now() + Milliseconds(50);
+    const auto exchange = instance.beginRequest(route, std::move(head), "body");
+    // Admission becomes strict while the connection to the peer is being established.
+    instance.context.strictAdmissionFrom = instance.loop.now();
+    instance.runUntil([&] {
+        return instance.response.isFinished();
+    });
+    CHECK(instance.relayedCount() == (isDeadlineBeforeEnd ? 1 : 0));
+    CHECK(instance.response.head.status == (isDeadlineBeforeEnd ? 200 : 503));
+    CHECK(instance.response.head.fields.has("Retry-After") == !isDeadlineBeforeEnd);
+}
+
 TEST_CASE("a partitioned instance without a peer refuses requests instead of sending them where they cannot arrive")
 {
     CutInstance instance;
--- a/src/gateway/tests/stopexchangetests.cpp
+++ b/src/gateway/tests/stopexchangetests.cpp
@@ -104,6 +104,42 @@
     CHECK(instance.response.head.fields.has("Retry-After") == !isDeadlineBeforeEnd);
 }
 
+TEST_CASE("a request that waits for memory when admission becomes strict in a stop is not sent if it may outlast it")
+{
+    // Guards against requests that are placed early in a stop, sent late in it and cut at its end.
+    const bool isDeadlineBeforeEnd = GENERATE(false, true);
+    StoppingInstance *self = nullptr;
+    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+        if (!request.starts_with("POST /order")) {
+            respondWithEvent(connection, request);
+            return;
+        }
+        self->loop.after(answerTime, [stream = connection.stream] {
+            stream->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        });
+    });
+    self = &instance;
+    const auto exchange = instance.begin(RouteKind::Stream, isDeadlineBeforeEnd ? "3000" : "15000", "1600, 20");
+    instance.runUntilAnswered();
+    CHECK(instance.requestCount() == (isDeadlineBeforeEnd ? 1 : 0));
+    CHECK(instance.response.head.status == (isDeadlineBeforeEnd ? 200 : 503));
+    CHECK(instance.response.head.fields.has("Retry-After") == !isDeadlineBeforeEnd);
+}
+
+TEST_CASE("a request whose connection stands when admission is strict in a stop is not sent if it may outlast it")
+{
+    // Guards against requests that are placed early in a stop and sent late in it, after a slow connection attempt.
+    const bool isDeadlineBeforeEnd = GENERATE(false, true);
+    StoppingInstance instance([](Connection &connection, const std::string &request, int /*number*/) {
+        respondWithEvent(connection, request);
+    });
+    const auto exchange = instance.begin(RouteKind::Stream, isDeadlineBeforeEnd ? "3000" : "15000", "100, 20");
+    instance.context.strictAdmissionFrom = instance.loop.now();
+    instance.runUntilAnswered();
+    CHECK(instance.requestCount() == (isDeadlineBeforeEnd ? 1 : 0));
+    CHECK(instance.response.head.status == (isDeadlineBeforeEnd ? 200 : 503));
+}
+
 TEST_CASE("a request that may be repeated is sent again late in a stop after its upstream has broken off")
 {
     // Guards against failures of requests that other upstreams can answer in time: what may have run cannot be refused.
