A kept connection ends with its answer late in a stop

Cause: the head of an answer that was begun before the stop doesn't name the end of the connection. Late in a stop idle connections are closed, but only by a check each 100 ms; a caller that asks again at once comes before it.

With streams refused alone, the case still shows the request as taken and answered 503.

Mend: from the first check on, a connection is closed as soon as its answer has ended, unless a request has arrived on it, which is then answered. The caller reads the end right after the answer and asks elsewhere, without an attempt that is refused.

Test, red before: "in a planned stop a kept connection ends with its answer, before its caller sends the next request".

--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -377,6 +377,10 @@
     m_loop.defer([self = shared_from_this()] {
         if (self->m_state == State::ReadingHead) {
             self->processInput();
+            // The end follows the answer, so that a caller that asks again without a pause does so elsewhere.
+            if (self->m_listener.isClosingIdleConnections()) {
+                self->closeIfIdle();
+            }
         }
     });
 }
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -104,6 +104,7 @@
 
 void Listener::closeIdleConnections()
 {
+    m_isClosingIdleConnections = true;
     const std::vector<std::shared_ptr<CallerConnection>> open(m_connections.begin(), m_connections.end());
     for (const auto &it : open) {
         it->closeIfIdle();
@@ -138,6 +139,11 @@
     }));
 }
 
+bool Listener::isClosingIdleConnections() const
+{
+    return m_isClosingIdleConnections;
+}
+
 memory::MemoryAccount *Listener::limitedAccount() const
 {
     return m_account;
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -39,7 +39,10 @@
     void stopAccepting();
     /** Closes the listening socket and all connections at once; their requests are cancelled. */
     void closeAll();
-    /** Gracefully closes connections that have no request, neither in processing nor received and not yet read. */
+    /**
+     * Gracefully closes connections that have no request, neither in processing nor received and not yet read. From
+     * then on the others close too when they become idle.
+     */
     void closeIdleConnections();
     /** Calls onPartitioned() of all requests that are being processed. */
     void notifyPartitioned();
@@ -59,6 +62,8 @@
     /** Accepts the connections that wait in the system's queue. */
     void acceptWaiting();
     void removeConnection(const std::shared_ptr<CallerConnection> &connection);
+    /** Whether connections close as soon as they have no request. */
+    [[nodiscard]] bool isClosingIdleConnections() const;
     /** The account if memory is limited, otherwise null. */
     [[nodiscard]] memory::MemoryAccount *limitedAccount() const;
     /** Lets `connection` read its body when memory is free, after the bodies that wait already. */
@@ -76,6 +81,7 @@
     bool m_isListening = false;
     // Implies `m_isListening`.
     bool m_isAccepting = false;
+    bool m_isClosingIdleConnections = false;
     std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
     memory::MemoryAccount *m_account;
     // Connections whose bodies wait for memory, in order of arrival.
--- a/src/gateway/tests/stoptests.cpp
+++ b/src/gateway/tests/stoptests.cpp
@@ -291,3 +291,34 @@
         }
     }
 }
+
+TEST_CASE("in a planned stop a kept connection ends with its answer, before its caller sends the next request")
+{
+    // Guards against requests that a process takes between the end of an answer and its next check for idle
+    // connections.
+    FleetWithKeptStreams kept;
+    constexpr int callerCount = 8;
+    std::vector<std::shared_ptr<FleetCaller>> callers;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(kept.beginKeptStream("early-" + std::to_string(i)));
+    }
+    kept.fleet.beginStop(0);
+    kept.fleet.runFor(Milliseconds(3000));
+    for (int i = 0; i < callerCount; ++i) {
+        kept.endKeptStream("early-" + std::to_string(i));
+        const FleetCaller &caller = *callers[static_cast<std::size_t>(i)];
+        REQUIRE(kept.fleet.runUntil([&] {
+            return caller.isComplete();
+        }));
+        kept.fleet.runFor(Milliseconds(5));
+        caller.stream->write(requestHead("late-" + std::to_string(i), "/safe/x", "500"));
+    }
+    kept.fleet.runFor(Milliseconds(300));
+    for (int i = 0; i < callerCount; ++i) {
+        const FleetCaller &caller = *callers[static_cast<std::size_t>(i)];
+        INFO(i << ": " << caller.received);
+        CHECK(caller.hasEnded);
+        CHECK(bytesAfterStream(caller).empty());
+        CHECK_FALSE(kept.received.contains("late-" + std::to_string(i)));
+    }
+}
