A request whose body is read at the end of a stop is told when to come back

What callers would see: a request whose body is still on its way when the process ends gets a bare 503, without its id and without Retry-After.

Cause: `CallerConnection::answerAtEnd` refused such requests as the connection does malformed ones, without the handler, which knows the fields of the protocol. A peer that had relayed the request couldn't see that it has not run, and answered 502.

Mend: the handler refuses them, as those that find no memory: with the id, Retry-After 0 (other instances take it at once), the field by which peers know that it has not run, and a line `denied` with the reason "stopping" in the log.

Test, red before (no id, no Retry-After): "a request whose body is being read at the end of a planned stop is told when to come back".

--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t bodyInputSize = 64 * 1024;
 /** Buffer of the operating system for a caller: what passes 20 Mbit/s in a round trip of 6 ms. */
 constexpr std::size_t sendBufferSize = 16 * 1024;
+/** Reason in the log of refusals for lack of memory. */
+constexpr std::string_view memoryShort = "memory_short";
 
 } // namespace
 
@@ -71,8 +73,8 @@
     if (const auto activeRequest = m_activeRequest) {
         activeRequest->onProcessEnding();
     } else if (m_state == State::WaitingForMemory || m_state == State::ReadingBody) {
-        m_stream->setReading(true);
-        refuse(503);
+        // Other instances can take the request at once.
+        refuseBody("stopping", Milliseconds(0));
     }
 }
 
@@ -100,7 +102,7 @@
         readHead();
     } else if (m_state == State::WaitingForMemory) {
         // Reading is paused, so that input comes only with the end of the connection.
-        refuseBody(Milliseconds(0));
+        refuseBody(memoryShort, Milliseconds(0));
     }
     if (m_state == State::ReadingBody) {
         readBody();
@@ -174,7 +176,7 @@
         allowBody();
         return;
     case memory::BodyAction::Refuse:
-        refuseBody(decision.time);
+        refuseBody(memoryShort, decision.time);
         return;
     case memory::BodyAction::Wait:
         break;
@@ -201,7 +203,7 @@
     setTimer(m_handler.limits().headerTimeout);
 }
 
-void CallerConnection::refuseBody(Milliseconds retryAfter)
+void CallerConnection::refuseBody(std::string_view reason, Milliseconds retryAfter)
 {
     m_loop.cancel(m_timer);
     m_timer = 0;
@@ -211,7 +213,7 @@
     m_hasHeadBegun = false;
     // The body is still to come and is not read as a request.
     m_isLastRequest = true;
-    m_handler.refuseUnread(m_head, retryAfter, *this);
+    m_handler.refuseUnread(m_head, reason, retryAfter, *this);
     m_head = {};
 }
 
@@ -228,7 +230,7 @@
         return false;
     }
     if (decision.action == memory::BodyAction::Refuse) {
-        refuseBody(decision.time);
+        refuseBody(memoryShort, decision.time);
         return true;
     }
     setTimer(m_handler.limits().headerTimeout);
@@ -422,7 +424,7 @@
         m_bodyBytesAtTimer = m_body.size();
         setTimer(m_handler.limits().headerTimeout);
     } else if (m_state == State::WaitingForMemory) {
-        refuseBody(decideOnBody(Bytes{0}).time);
+        refuseBody(memoryShort, decideOnBody(Bytes{0}).time);
     } else if (m_state == State::ReadingBody || m_hasHeadBegun) {
         refuse(408);
     } else if (m_state == State::ReadingHead) {
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -73,7 +73,8 @@
     /** Reads the body now, later or not at all, as memory permits. */
     void beginBody(Bytes ahead);
     void allowBody();
-    void refuseBody(Milliseconds retryAfter);
+    /** Answers the request without its body; `reason` goes into the log. */
+    void refuseBody(std::string_view reason, Milliseconds retryAfter);
     [[nodiscard]] memory::BodyDecision decideOnBody(Bytes ahead) const;
     void countOutput();
     void readBody();
--- a/src/gateway/internal/callerhandler.cpp
+++ b/src/gateway/internal/callerhandler.cpp
@@ -55,16 +55,16 @@
     return Milliseconds(static_cast<std::int64_t>(std::min(deadline, 1e9)));
 }
 
-void CallerHandler::refuseUnread(
-    const httpwire::RequestHead &head, Milliseconds retryAfter, IResponseWriter &responseWriter)
+void CallerHandler::refuseUnread(const httpwire::RequestHead &head, std::string_view reason, Milliseconds retryAfter,
+    IResponseWriter &responseWriter)
 {
-    refuseForMemory(head, retryAfter, false, responseWriter);
+    refuse(head, 503, reason, false, responseWriter, retryAfter);
 }
 
-void CallerHandler::refuseForMemory(
-    const httpwire::RequestHead &head, Milliseconds retryAfter, bool isRelayed, IResponseWriter &responseWriter)
+void CallerHandler::refuseUnreadRelayed(const httpwire::RequestHead &head, std::string_view reason,
+    Milliseconds retryAfter, IResponseWriter &responseWriter)
 {
-    refuse(head, 503, "memory_short", isRelayed, responseWriter, retryAfter);
+    refuse(head, 503, reason, true, responseWriter, retryAfter);
 }
 
 bool CallerHandler::isClosing() const
--- a/src/gateway/internal/callerhandler.h
+++ b/src/gateway/internal/callerhandler.h
@@ -37,11 +37,11 @@
     [[nodiscard]] std::size_t heldCount() const;
     [[nodiscard]] ReadLimits limits() const override;
     [[nodiscard]] std::optional<Milliseconds> deadlineOf(const httpwire::RequestHead &head) const override;
-    void refuseUnread(
-        const httpwire::RequestHead &head, Milliseconds retryAfter, IResponseWriter &responseWriter) override;
-    /** Refuses a request whose body cannot be read; `isRelayed` if a peer sends it. */
-    void refuseForMemory(
-        const httpwire::RequestHead &head, Milliseconds retryAfter, bool isRelayed, IResponseWriter &responseWriter);
+    void refuseUnread(const httpwire::RequestHead &head, std::string_view reason, Milliseconds retryAfter,
+        IResponseWriter &responseWriter) override;
+    /** Refuses a request that a peer relays and whose body has not been read. */
+    void refuseUnreadRelayed(const httpwire::RequestHead &head, std::string_view reason, Milliseconds retryAfter,
+        IResponseWriter &responseWriter);
     [[nodiscard]] bool isClosing() const override;
 
 private:
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-void IRequestHandler::refuseUnread(
-    const httpwire::RequestHead & /*head*/, Milliseconds /*retryAfter*/, IResponseWriter &responseWriter)
+void IRequestHandler::refuseUnread(const httpwire::RequestHead & /*head*/, std::string_view /*reason*/,
+    Milliseconds /*retryAfter*/, IResponseWriter &responseWriter)
 {
     httpwire::ResponseHead head;
     head.status = 503;
--- a/src/gateway/internal/relayhandler.cpp
+++ b/src/gateway/internal/relayhandler.cpp
@@ -46,10 +46,10 @@
     return m_callerHandler.deadlineOf(head);
 }
 
-void RelayHandler::refuseUnread(
-    const httpwire::RequestHead &head, Milliseconds retryAfter, IResponseWriter &responseWriter)
+void RelayHandler::refuseUnread(const httpwire::RequestHead &head, std::string_view reason, Milliseconds retryAfter,
+    IResponseWriter &responseWriter)
 {
-    m_callerHandler.refuseForMemory(head, retryAfter, true, responseWriter);
+    m_callerHandler.refuseUnreadRelayed(head, reason, retryAfter, responseWriter);
 }
 
 bool RelayHandler::isClosing() const
--- a/src/gateway/internal/relayhandler.h
+++ b/src/gateway/internal/relayhandler.h
@@ -17,8 +17,8 @@
         httpwire::RequestHead head, std::string body, MonoTime receivedAt, IResponseWriter &responseWriter) override;
     [[nodiscard]] ReadLimits limits() const override;
     [[nodiscard]] std::optional<Milliseconds> deadlineOf(const httpwire::RequestHead &head) const override;
-    void refuseUnread(
-        const httpwire::RequestHead &head, Milliseconds retryAfter, IResponseWriter &responseWriter) override;
+    void refuseUnread(const httpwire::RequestHead &head, std::string_view reason, Milliseconds retryAfter,
+        IResponseWriter &responseWriter) override;
     [[nodiscard]] bool isClosing() const override;
 
 private:
--- a/src/gateway/irequesthandler.h
+++ b/src/gateway/irequesthandler.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace magnolia::gateway
 {
@@ -65,9 +66,9 @@
     {
         return std::nullopt;
     }
-    /** Refuses a request whose body has not been read for lack of memory; responds at once. */
-    virtual void refuseUnread(
-        const httpwire::RequestHead & /*head*/, Milliseconds /*retryAfter*/, IResponseWriter &responseWriter);
+    /** Refuses a request whose body has not been read; responds at once. `reason` goes into the log. */
+    virtual void refuseUnread(const httpwire::RequestHead & /*head*/, std::string_view /*reason*/,
+        Milliseconds /*retryAfter*/, IResponseWriter &responseWriter);
     /** Whether each connection is closed after its current response. */
     [[nodiscard]] virtual bool isClosing() const = 0;
 };
--- a/src/gateway/tests/stoptests.cpp
+++ b/src/gateway/tests/stoptests.cpp
@@ -322,3 +322,21 @@
         CHECK_FALSE(kept.received.contains("late-" + std::to_string(i)));
     }
 }
+
+TEST_CASE("a request whose body is being read at the end of a planned stop is told when to come back")
+{
+    // Guards against a refusal that names neither its request nor a time, so that its caller cannot tell what to
+    // repeat.
+    FleetWithKeptStreams kept;
+    const auto caller = kept.beginKeptStream("early");
+    kept.fleet.beginStop(0);
+    kept.fleet.loop.after(Milliseconds(6000), [&] {
+        caller->stream->write(requestHead("late", "/once/x", "1000", 4) + "bo");
+        kept.endKeptStream("early");
+    });
+    kept.fleet.runFor(stopTime);
+    INFO(caller->received);
+    CHECK_FALSE(kept.received.contains("late"));
+    checkNotRun(bytesAfterStream(*caller), "late");
+    CHECK(caller->hasEnded);
+}
