serve: requests that may outlast a drain are refused, and open ones answered before its end

What callers would see: `serve` takes each request while it drains, and cuts those that are open at its drain deadline (`drainMs`) without a word on whether they have run.

Cause: nothing of the drain deadline reached the admission of requests or the attempts in progress. Requests ended with their finish time only, and the process with its drain.

Mend: the time at which requests have to end is shared with the runner when a drain begins. A request whose finish time lies later is refused before an upstream is chosen: 503 AdmissionStopping, not run, Retry-After 0; repeated keys still get their recorded answer. A request that is open then gets its final answer 500 ms before the process ends, with the outcome that is known, and its engine is told to cancel.

Tests, red without the shared time: "a stopping instance admits only requests whose finish time lies before the end of its process", "a request that is open when its process ends gets its final answer before"; with real processes "session: at the end of its drain an entry answers open requests and takes none that may outlast it".

--- a/src/app/internal/entryprocess.cpp
+++ b/src/app/internal/entryprocess.cpp
@@ -18,6 +18,7 @@
 #include "entry/memoryreconciler.h"
 #include "entry/operatorhandler.h"
 #include "entry/requestrunner.h"
+#include "entry/stopdeadline.h"
 #include "entry/upstreamhealthtracker.h"
 #include "framework/global/systemclock.h"
 #include "framework/httpserver/httpserver.h"
@@ -39,6 +40,8 @@
 {
 
 constexpr Milliseconds loopInterval{200};
+/** Requests end at least this long before the process, so that their answers are sent. */
+constexpr Milliseconds finalAnswerTime{500};
 /** After all answers of `locate` have expired, a draining instance stops after this time without a new request. */
 constexpr Milliseconds minQuietTime{1000};
 /** Maximum wait for the acknowledgements of the last handover of idempotency keys. */
@@ -126,7 +129,7 @@
         , observer(settings.instance, settings.dataCentre, blackboard, clock, *client, *transport, health)
         , memory(settings.instance, incarnation, settings.dataCentre, blackboard, clock, *client, cancelQueue,
               activeRequests)
-        , runner({clock, *client, policy, keys, cancelQueue, activeRequests, metrics,
+        , runner({clock, *client, policy, keys, cancelQueue, activeRequests, metrics, stopDeadline,
               settings.instance.value() + '/' + std::to_string(incarnation.count()),
               settings.limits.upstreamSilenceTimeout})
         , callers(toHandlerSettings(settings), blackboard, runner, clock, randomSeed())
@@ -185,6 +188,7 @@
     entry::IdempotencyController keys;
     entry::LoadObserver observer;
     entry::MemoryReconciler memory;
+    entry::StopDeadline stopDeadline;
     entry::RequestRunner runner;
     entry::CallerHandler callers;
     entry::OperatorHandler operators;
@@ -290,6 +294,7 @@
     const MonoTime drainStart = impl.clock.monotonicNow();
     const MonoTime locateAnswersExpireAt = drainStart + impl.settings.limits.locateTtl;
     const MonoTime drainDeadline = drainStart + impl.settings.limits.maxDrainTime;
+    impl.stopDeadline.set(drainDeadline - finalAnswerTime);
     MonoTime lastRequestAt = drainStart;
     int acceptedCount = impl.callerServer->acceptedConnectionCount();
     while (true) {
--- a/src/entry/internal/gate/ownerrelay.cpp
+++ b/src/entry/internal/gate/ownerrelay.cpp
@@ -37,7 +37,7 @@
 // Forwards the stream of the owner unchanged: the owner has checked every event, and the last one may be an error.
 AttemptEnd forwardBytes(upstreams::IUpstreamAnswer &upstream, RunState &state, const IClock &clock)
 {
-    while (clock.monotonicNow() < state.request.finishDue()) {
+    while (clock.monotonicNow() < state.endDue()) {
         const upstreams::ReceiveResult received = upstream.receive(maxWait);
         switch (received.state) {
         case upstreams::ReceiveState::Data:
@@ -90,8 +90,8 @@
 RunReport relayToOwner(
     RunnerServices &services, const CallerRequest &request, ICallerAnswer &answer, const KeyOwnedBy &owner)
 {
-    RunState state(request, answer);
-    const Milliseconds timeLeft = toMilliseconds(request.finishDue() - services.clock.monotonicNow());
+    RunState state(request, answer, services.stopDeadline);
+    const Milliseconds timeLeft = toMilliseconds(state.endDue() - services.clock.monotonicNow());
     const auto call = ownerCall(request, owner.address, {services.owner, timeLeft, services.silenceTimeout, ""});
     auto upstream = services.client.send(call, []() -> Result<void> {
         return {};
--- a/src/entry/internal/run/nextstep.cpp
+++ b/src/entry/internal/run/nextstep.cpp
@@ -12,6 +12,8 @@
     switch (end) {
     case AttemptEnd::DeadlinePassed:
         return ResultCode::DeadlineExceeded;
+    case AttemptEnd::ProcessEnding:
+        return ResultCode::AdmissionStopping;
     case AttemptEnd::ConnectFailed:
         return ResultCode::UpstreamConnectFailed;
     case AttemptEnd::Leaving:
@@ -78,6 +80,7 @@
     case AttemptEnd::CallerGone:
         return {StepKind::Abandon, ResultCode::RequestCancelled, outcomeOf(context)};
     case AttemptEnd::DeadlinePassed:
+    case AttemptEnd::ProcessEnding:
     case AttemptEnd::Forbidden:
         return giveUpStep(context);
     case AttemptEnd::ConnectFailed:
--- a/src/entry/internal/run/requestrun.cpp
+++ b/src/entry/internal/run/requestrun.cpp
@@ -45,7 +45,7 @@
 RequestRun::RequestRun(RunnerServices &services, const CallerRequest &request, ICallerAnswer &answer,
     UpstreamChoice first, std::optional<KeyGranted> grant)
     : m_services(services)
-    , m_state(request, answer)
+    , m_state(request, answer, services.stopDeadline)
     , m_group(services.client, services.cancelQueue)
     , m_grant(grant)
 {
@@ -154,6 +154,9 @@
         if (m_services.clock.monotonicNow() >= m_state.request.finishDue()) {
             return makeError(ResultCode::DeadlineExceeded, "the finish time passed before the request was sent");
         }
+        if (m_services.clock.monotonicNow() >= m_state.endDue()) {
+            return makeError(ResultCode::AdmissionStopping, "the process ends before the request was sent");
+        }
         if (isDispatch && m_grant) {
             if (auto confirmed = m_services.keys.confirmDispatch(m_state.request, *m_grant); !confirmed) {
                 return confirmed;
@@ -357,7 +360,7 @@
 
 Milliseconds RequestRun::timeLeft() const
 {
-    return std::max(toMilliseconds(m_state.request.finishDue() - m_services.clock.monotonicNow()), Milliseconds(0));
+    return std::max(toMilliseconds(m_state.endDue() - m_services.clock.monotonicNow()), Milliseconds(0));
 }
 
 } // namespace magnolia::entry
--- a/src/entry/internal/run/requestrunner.cpp
+++ b/src/entry/internal/run/requestrunner.cpp
@@ -7,6 +7,7 @@
 #include "entry/internal/answer/requestlog.h"
 #include "entry/internal/gate/ownerrelay.h"
 #include "entry/internal/run/requestrun.h"
+#include "entry/stopdeadline.h"
 
 namespace magnolia::entry
 {
@@ -24,10 +25,21 @@
     return report;
 }
 
+Result<UpstreamChoice> admit(RunnerServices &services, const CallerRequest &request)
+{
+    // Only its finish time bounds a request, so that one that finishes later might be cut off by the end of the
+    // process.
+    if (request.finishDue() > services.stopDeadline.value()) {
+        return tl::unexpected(Error{ResultCode::AdmissionStopping,
+            "the process ends before the finish time of the request", Outcome::NotRun, Milliseconds(0)});
+    }
+    return services.policy.admit(request, services.clock.monotonicNow());
+}
+
 RunReport runAdmitted(
     RunnerServices &services, const CallerRequest &request, ICallerAnswer &answer, std::optional<KeyGranted> grant)
 {
-    auto admitted = services.policy.admit(request, services.clock.monotonicNow());
+    auto admitted = admit(services, request);
     logAdmission(request, admitted);
     if (!admitted) {
         Error error = admitted.error();
--- a/src/entry/internal/run/streamreader.cpp
+++ b/src/entry/internal/run/streamreader.cpp
@@ -38,7 +38,7 @@
     /** Returns the length of the next wait, which ends at most 1 ms after the deadline. */
     [[nodiscard]] Milliseconds nextWait(MonoTime now) const
     {
-        const Milliseconds left = toMilliseconds(m_state.request.finishDue() - now) + Milliseconds(1);
+        const Milliseconds left = toMilliseconds(m_state.endDue() - now) + Milliseconds(1);
         return std::clamp(left, Milliseconds(1), maxWait);
     }
 
@@ -47,6 +47,9 @@
         if (now >= m_state.request.finishDue()) {
             return AttemptEnd::DeadlinePassed;
         }
+        if (now >= m_state.endDue()) {
+            return AttemptEnd::ProcessEnding;
+        }
         return std::nullopt;
     }
 
--- a/src/entry/internal/upstreamhealth/upstreamhealthrules.cpp
+++ b/src/entry/internal/upstreamhealth/upstreamhealthrules.cpp
@@ -40,6 +40,7 @@
     // These do not tell whether the upstream is reachable.
     case AttemptEnd::CallerGone:
     case AttemptEnd::DeadlinePassed:
+    case AttemptEnd::ProcessEnding:
     case AttemptEnd::Forbidden:
     case AttemptEnd::Refused:
     case AttemptEnd::StreamUnknown:
--- a/src/entry/requestrunner.h
+++ b/src/entry/requestrunner.h
@@ -22,6 +22,7 @@
 class ICallerAnswer;
 class IDispatchPolicy;
 class IIdempotencyController;
+class StopDeadline;
 
 /** Services and limits of a runner; the referenced objects must outlive it. */
 struct RunnerServices
@@ -33,6 +34,7 @@
     CancelQueue &cancelQueue;
     ActiveRequests &activeRequests;
     metrics::MetricsRegistry &metrics;
+    const StopDeadline &stopDeadline;
     /** `<instance>/<incarnation>`: the owner that engines record for the streams of this instance. */
     std::string owner;
     /** Time without bytes from a model engine after which the attempt fails. */
@@ -46,7 +48,10 @@
 public:
     explicit RequestRunner(RunnerServices services);
 
-    /** Answers the caller exactly once, within the finish time of the request class, and returns the result. */
+    /**
+     * Answers the caller exactly once, within the finish time of the request class and before the process ends, and
+     * returns the result.
+     */
     RunReport run(const CallerRequest &request, ICallerAnswer &answer);
 
 private:
--- /dev/null
+++ b/src/entry/stopdeadline.h
@@ -0,0 +1,30 @@
+// Time at which the process ends, once it stops.
+#pragma once
+
+#include "framework/global/types/time.h"
+
+#include <atomic>
+
+namespace magnolia::entry
+{
+
+/** Thread-safe. */
+class StopDeadline
+{
+public:
+    /** Requests that have no answer at `at` get a final one then. */
+    void set(MonoTime at)
+    {
+        m_at = at;
+    }
+    /** Returns the latest time at which requests end; `MonoTime::max()` while no stop has been requested. */
+    [[nodiscard]] MonoTime value() const
+    {
+        return m_at;
+    }
+
+private:
+    std::atomic<MonoTime> m_at = MonoTime::max();
+};
+
+} // namespace magnolia::entry
--- a/src/entry/tests/nextsteptests.cpp
+++ b/src/entry/tests/nextsteptests.cpp
@@ -13,8 +13,9 @@
 {
 
 constexpr AttemptEnd allEnds[] = {AttemptEnd::Whole, AttemptEnd::CallerGone, AttemptEnd::DeadlinePassed,
-    AttemptEnd::Forbidden, AttemptEnd::ConnectFailed, AttemptEnd::Leaving, AttemptEnd::Refused, AttemptEnd::Rejected,
-    AttemptEnd::StreamUnknown, AttemptEnd::Silent, AttemptEnd::Broken, AttemptEnd::WrongAnswer, AttemptEnd::Gap};
+    AttemptEnd::ProcessEnding, AttemptEnd::Forbidden, AttemptEnd::ConnectFailed, AttemptEnd::Leaving,
+    AttemptEnd::Refused, AttemptEnd::Rejected, AttemptEnd::StreamUnknown, AttemptEnd::Silent, AttemptEnd::Broken,
+    AttemptEnd::WrongAnswer, AttemptEnd::Gap};
 
 void forAllContexts(const std::function<void(const AttemptContext &)> &check)
 {
--- a/src/entry/tests/runnertests.cpp
+++ b/src/entry/tests/runnertests.cpp
@@ -7,6 +7,7 @@
 #include "entry/iidempotencycontroller.h"
 #include "entry/internal/run/streamreader.h"
 #include "entry/requestrunner.h"
+#include "entry/stopdeadline.h"
 #include "entry/tests/fakeupstreams.h"
 #include "framework/logging/log.h"
 #include "framework/testing/schedule.h"
@@ -111,6 +112,26 @@
     int endedAttempts = 0;
 };
 
+/** Requests the stop when a request has been admitted. */
+class StoppingPolicy : public FakePolicy
+{
+public:
+    StoppingPolicy(StopDeadline &stopDeadline, MonoTime stopsAt)
+        : m_stopDeadline(stopDeadline)
+        , m_stopsAt(stopsAt)
+    {
+    }
+    [[nodiscard]] Result<UpstreamChoice> admit(const CallerRequest &request, MonoTime now) override
+    {
+        m_stopDeadline.set(m_stopsAt);
+        return FakePolicy::admit(request, now);
+    }
+
+private:
+    StopDeadline &m_stopDeadline;
+    MonoTime m_stopsAt;
+};
+
 /** Grants every key, confirms one dispatch at a time and counts how often a key was settled. */
 class FakeKeys : public IIdempotencyController
 {
@@ -165,6 +186,7 @@
 {
     CallerRequest request;
     FakeClock clock;
+    StopDeadline stopDeadline;
     FakePolicy policy;
     FakeKeys keys;
     RunReport report;
@@ -177,25 +199,31 @@
     return {0.15, 0.03, 0.1, 0.1, 0.02, 0.02, 0.02, 0.05, 0.02, 0.2, 0.001};
 }
 
-std::unique_ptr<Run> runOnce(std::uint64_t seed, bool isIdempotent, bool wantsStream, const FaultRates &rates)
+void execute(
+    Run &run, IDispatchPolicy &policy, std::uint64_t seed, bool isIdempotent, bool wantsStream, const FaultRates &rates)
 {
-    auto run = std::make_unique<Run>();
-    run->request.id = RequestId("r-1");
-    run->request.requestClass = {ClassId("c"), RequestKind::Model, Milliseconds(1000), finishTime, isIdempotent};
-    run->request.wantsStream = wantsStream;
-    run->request.arrivedAt = run->clock.monotonicNow();
-    run->request.upstreamPath = "/v1/completions";
-    run->answer = std::make_unique<RecordingAnswer>(run->clock);
+    run.request.id = RequestId("r-1");
+    run.request.requestClass = {ClassId("c"), RequestKind::Model, Milliseconds(1000), finishTime, isIdempotent};
+    run.request.wantsStream = wantsStream;
+    run.request.arrivedAt = run.clock.monotonicNow();
+    run.request.upstreamPath = "/v1/completions";
+    run.answer = std::make_unique<RecordingAnswer>(run.clock);
     static AcceptingClient cancelClient;
     static CancelQueue cancelQueue(cancelClient);
     ActiveRequests active;
     metrics::MetricsRegistry metrics;
-    FakeUpstreams engines(run->clock, seed, rates, tokens);
-    RequestRunner runner(
-        {run->clock, engines, run->policy, run->keys, cancelQueue, active, metrics, "entry-1/1", Milliseconds(2000)});
-    run->report = runner.run(run->request, *run->answer);
-    run->journal = engines.journal();
+    FakeUpstreams engines(run.clock, seed, rates, tokens);
+    RequestRunner runner({run.clock, engines, policy, run.keys, cancelQueue, active, metrics, run.stopDeadline,
+        "entry-1/1", Milliseconds(2000)});
+    run.report = runner.run(run.request, *run.answer);
+    run.journal = engines.journal();
     REQUIRE(active.ids().empty());
+}
+
+std::unique_ptr<Run> runOnce(std::uint64_t seed, bool isIdempotent, bool wantsStream, const FaultRates &rates)
+{
+    auto run = std::make_unique<Run>();
+    execute(*run, run->policy, seed, isIdempotent, wantsStream, rates);
     return run;
 }
 
@@ -310,3 +338,45 @@
     CHECK(run->report.attempts == 1);
     CHECK(run->journal.executed == 1);
 }
+
+TEST_CASE("a stopping instance admits only requests whose finish time lies before the end of its process")
+{
+    // Guards against requests that are taken late in a drain and cut at its end.
+    disableLog();
+    const bool isIdempotent = GENERATE(true, false);
+    const bool isFinishBeforeEnd = GENERATE(true, false);
+    Run run;
+    run.stopDeadline.set(run.clock.monotonicNow() + finishTime - Milliseconds(isFinishBeforeEnd ? 0 : 1));
+    execute(run, run.policy, 1, isIdempotent, true, {});
+    CHECK(run.journal.executed == (isFinishBeforeEnd ? 1 : 0));
+    CHECK(run.policy.startedAttempts == (isFinishBeforeEnd ? 1 : 0));
+    CHECK(run.keys.settledCount == (isIdempotent ? 0 : 1));
+    if (isFinishBeforeEnd) {
+        CHECK(run.report.code == ResultCode::Ok);
+        return;
+    }
+    REQUIRE(run.answer->error);
+    CHECK(run.answer->error->code == ResultCode::AdmissionStopping);
+    CHECK(run.answer->error->outcome == Outcome::NotRun);
+    CHECK(run.answer->error->retryAfter == Milliseconds(0));
+}
+
+TEST_CASE("a request that is open when its process ends gets its final answer before")
+{
+    // Guards against connections that end with the process, without a word on whether the request has run.
+    disableLog();
+    const bool isIdempotent = GENERATE(true, false);
+    FaultRates rates;
+    rates.silent = 1;
+    Run run;
+    const MonoTime stopsAt = run.clock.monotonicNow() + Milliseconds(5000);
+    StoppingPolicy policy(run.stopDeadline, stopsAt);
+    execute(run, policy, 1, isIdempotent, true, rates);
+    CHECK(run.answer->endCount == 1);
+    CHECK(run.answer->endedAt <= stopsAt + maxWait + Milliseconds(50));
+    CHECK(policy.startedAttempts == policy.endedAttempts);
+    REQUIRE(run.answer->error);
+    CHECK(run.answer->error->code == (isIdempotent ? ResultCode::AdmissionStopping : ResultCode::KeyOutcomeUnknown));
+    CHECK(run.answer->error->outcome == Outcome::Unknown);
+    CHECK(run.keys.settledCount == (isIdempotent ? 0 : 1));
+}
--- a/src/entry/types/attemptend.h
+++ b/src/entry/types/attemptend.h
@@ -13,6 +13,8 @@
     CallerGone,
     /** The finish time of the request class has passed. */
     DeadlinePassed,
+    /** The process is about to end. */
+    ProcessEnding,
     /** The final check before the first byte forbade sending; nothing was sent. */
     Forbidden,
     /** The connection could not be opened; nothing was sent. */
@@ -44,6 +46,8 @@
         return "caller_gone";
     case AttemptEnd::DeadlinePassed:
         return "deadline_passed";
+    case AttemptEnd::ProcessEnding:
+        return "process_ending";
     case AttemptEnd::Forbidden:
         return "forbidden";
     case AttemptEnd::ConnectFailed:
--- a/tests/sessions/entryprocess.cpp
+++ b/tests/sessions/entryprocess.cpp
@@ -54,7 +54,7 @@
                 {"keys", {{{"id", 1}, {"secret", "a-secret-of-the-session-tests-of-41-chars"}}}}, {"sendKey", 1}}},
         {"platform", {{"configuration", {m_options.configuration}}, {"instances", {m_options.instances}}}},
         {"log", {{"level", "info"}, {"file", (m_directory / (id() + ".log")).string()}}},
-        {"limits", {{"locateTtlMs", 1000}, {"maxBodyBytes", 8'000'000}}}};
+        {"limits", {{"locateTtlMs", 1000}, {"maxBodyBytes", 8'000'000}, {"drainMs", m_options.drainMs}}}};
     std::ofstream(m_directory / (id() + ".jsonc")) << "// settings of " << id() << "\n" << settings.dump(4);
 }
 
--- a/tests/sessions/entryprocess.h
+++ b/tests/sessions/entryprocess.h
@@ -16,6 +16,8 @@
     std::string id;
     std::string configuration;
     std::string instances;
+    /** Longest time of a drain. */
+    int drainMs = 600'000;
 };
 
 class EntryProcess
--- a/tests/sessions/fleet.cpp
+++ b/tests/sessions/fleet.cpp
@@ -47,7 +47,8 @@
         m_engines.emplace_back("engine", "engine-" + std::to_string(i), m_directory.path(), options.engineOptions);
     }
     for (int i = 1; i <= options.entries; ++i) {
-        const EntryOptions entry{"entry-" + std::to_string(i), m_configuration.address(), m_instances.address()};
+        const EntryOptions entry{
+            "entry-" + std::to_string(i), m_configuration.address(), m_instances.address(), options.drainMs};
         m_entries.emplace_back(entry, m_directory.path());
     }
     publishConfiguration();
--- a/tests/sessions/fleet.h
+++ b/tests/sessions/fleet.h
@@ -18,6 +18,8 @@
     int entries = 1;
     int engines = 1;
     std::vector<std::string> engineOptions{"--token-interval-ms", "5"};
+    /** Longest time of a drain of an entry. */
+    int drainMs = 600'000;
 };
 
 class Fleet
--- a/tests/sessions/sessiontests.cpp
+++ b/tests/sessions/sessiontests.cpp
@@ -218,3 +218,28 @@
     record.add(body.substr(body.find("id: 198\n")));
     CHECK(record.text() == record.golden());
 }
+
+TEST_CASE("session: at the end of its drain an entry answers open requests and takes none that may outlast it")
+{
+    // Guards against requests that end with the process, without a word on whether they have run.
+    Fleet fleet({1, 1, {"--token-interval-ms", "20"}, 3000});
+    StreamingCall open(fleet.entry().callerAddress(), counterRequest("open-1", 900, true));
+    REQUIRE(open.readHead().status == 200);
+    REQUIRE_FALSE(open.readEvent().empty());
+    fleet.entry().process().sendSignal(SIGTERM);
+    const bool isDraining = waitUntil([&] {
+        return fleet.entry().log().find("\"draining\"") != std::string::npos;
+    });
+    REQUIRE(isDraining);
+
+    const HttpResponse refused = call(fleet.entry().callerAddress(), counterRequest("late-1", 5, true));
+    CHECK(refused.status == 503);
+    const nlohmann::json error = nlohmann::json::parse(refused.body).at("error");
+    CHECK(error.at("name") == "AdmissionStopping");
+    CHECK(error.at("this_attempt") == "not_run");
+
+    const std::string rest = open.readRest();
+    CHECK(rest.find("event: error") != std::string::npos);
+    CHECK(rest.find("AdmissionStopping") != std::string::npos);
+    CHECK(fleet.entry().process().waitForExit() == 0);
+}
