serve: a drain that ends open requests is still reported as not whole

Cause: since open requests get their answer before the drain deadline, none was open at the end, so that `stopped` said `whole: true` and the exit code was 0, although requests had been ended unfinished; operators watch that line (alarms.md).

Mend: requests that are ended by the stop are counted. "session: at the end of its drain ..." checks `whole: false` and exit code 1, the runner's test the count.

--- a/src/app/internal/entryprocess.cpp
+++ b/src/app/internal/entryprocess.cpp
@@ -319,7 +319,7 @@
         std::this_thread::sleep_for(loopInterval);
     }
     impl.callerServer->stopAccepting();
-    const bool isComplete = impl.callers.openRequestCount() == 0;
+    const bool isComplete = impl.callers.openRequestCount() == 0 && impl.stopDeadline.cutRequestCount() == 0;
     logging::write(logging::Level::Info, "app", "stopped", {{"whole", isComplete}});
     logging::flush();
     return isComplete;
--- a/src/entry/internal/gate/ownerrelay.cpp
+++ b/src/entry/internal/gate/ownerrelay.cpp
@@ -7,6 +7,7 @@
 #include "entry/internal/run/runstate.h"
 #include "entry/internal/run/streamreader.h"
 #include "entry/internal/run/upstreamcalls.h"
+#include "entry/stopdeadline.h"
 
 namespace magnolia::entry
 {
@@ -56,7 +57,7 @@
             return AttemptEnd::Broken;
         }
     }
-    return AttemptEnd::DeadlinePassed;
+    return clock.monotonicNow() < state.request.finishDue() ? AttemptEnd::ProcessEnding : AttemptEnd::DeadlinePassed;
 }
 
 AttemptEnd forwardAnswer(RunnerServices &services, upstreams::IUpstreamAnswer &upstream, RunState &state)
@@ -112,6 +113,9 @@
         report.thisAttempt = Outcome::Unknown;
         return report;
     }
+    if (end == AttemptEnd::ProcessEnding) {
+        services.stopDeadline.recordCutRequest();
+    }
     return answerOutcomeUnknown(answer, end);
 }
 
--- a/src/entry/internal/run/requestrun.cpp
+++ b/src/entry/internal/run/requestrun.cpp
@@ -9,6 +9,7 @@
 #include "entry/idispatchpolicy.h"
 #include "entry/internal/answer/requestlog.h"
 #include "entry/internal/run/upstreamcalls.h"
+#include "entry/stopdeadline.h"
 
 #include <nlohmann/json.hpp>
 
@@ -69,6 +70,9 @@
         if (!isResume) {
             endAttempt(result.end);
         }
+        if (result.end == AttemptEnd::ProcessEnding) {
+            m_services.stopDeadline.recordCutRequest();
+        }
         switch (step.kind) {
         case StepKind::Finish:
             sendCompleteAnswer();
--- a/src/entry/requestrunner.h
+++ b/src/entry/requestrunner.h
@@ -34,7 +34,7 @@
     CancelQueue &cancelQueue;
     ActiveRequests &activeRequests;
     metrics::MetricsRegistry &metrics;
-    const StopDeadline &stopDeadline;
+    StopDeadline &stopDeadline;
     /** `<instance>/<incarnation>`: the owner that engines record for the streams of this instance. */
     std::string owner;
     /** Time without bytes from a model engine after which the attempt fails. */
--- a/src/entry/stopdeadline.h
+++ b/src/entry/stopdeadline.h
@@ -1,4 +1,4 @@
-// Time at which the process ends, once it stops.
+// Time at which the process ends, once it stops, and the requests that it ended.
 #pragma once
 
 #include "framework/global/types/time.h"
@@ -22,9 +22,19 @@
     {
         return m_at;
     }
+    /** Records that a request was ended unfinished at the deadline. */
+    void recordCutRequest()
+    {
+        ++m_cutRequestCount;
+    }
+    [[nodiscard]] int cutRequestCount() const
+    {
+        return m_cutRequestCount;
+    }
 
 private:
     std::atomic<MonoTime> m_at = MonoTime::max();
+    std::atomic<int> m_cutRequestCount = 0;
 };
 
 } // namespace magnolia::entry
--- a/src/entry/tests/runnertests.cpp
+++ b/src/entry/tests/runnertests.cpp
@@ -372,6 +372,7 @@
     const MonoTime stopsAt = run.clock.monotonicNow() + Milliseconds(5000);
     StoppingPolicy policy(run.stopDeadline, stopsAt);
     execute(run, policy, 1, isIdempotent, true, rates);
+    CHECK(run.stopDeadline.cutRequestCount() == 1);
     CHECK(run.answer->endCount == 1);
     CHECK(run.answer->endedAt <= stopsAt + maxWait + Milliseconds(50));
     CHECK(policy.startedAttempts == policy.endedAttempts);
--- a/tests/sessions/sessiontests.cpp
+++ b/tests/sessions/sessiontests.cpp
@@ -241,5 +241,7 @@
     const std::string rest = open.readRest();
     CHECK(rest.find("event: error") != std::string::npos);
     CHECK(rest.find("AdmissionStopping") != std::string::npos);
-    CHECK(fleet.entry().process().waitForExit() == 0);
+    // A drain that had to cut a request is told apart from a whole one.
+    CHECK(fleet.entry().process().waitForExit() == 1);
+    CHECK(fleet.entry().log().find("\"whole\":false") != std::string::npos);
 }
