--- a/src/gateway/tests/stopexchangetests.cpp
+++ b/src/gateway/tests/stopexchangetests.cpp
@@ -19,10 +19,10 @@
 /** Time after which upstreams answer, when admission is strict. */
 constexpr Milliseconds answerTime{150};
 
-/** An instance that has begun to stop, before three engines. */
+/** An instance that stops while it has a request. */
 struct StoppingInstance : GatewayFixture
 {
-    explicit StoppingInstance(const ScriptedUpstream::Script &script)
+    void addEngines(const ScriptedUpstream::Script &script)
     {
         for (int i = 0; i < 3; ++i) {
             addUpstream("service", script);
@@ -35,7 +35,7 @@
         catalogue->services["service"].engine = engine;
     }
 
-    /** Begins a request that does not fit on one engine if it has more than 1,000 tokens of prompt. */
+    /** Begins the stop and a request, which does not fit on one engine if it has more than 1,000 tokens of prompt. */
     std::shared_ptr<Exchange> begin(RouteKind kind, const std::string &deadlineMs, const std::string &tokens)
     {
         context.stopDeadline = loop.now() + stopGracePeriod;
@@ -69,9 +69,10 @@
     }
 };
 
-void respondWithEvent(Connection &connection, const std::string &request)
+void respond(Connection &connection, const std::string &request, RouteKind kind)
 {
-    connection.send(eventStreamHead(request) + eventChunk(1) + "0\r\n\r\n");
+    connection.send(kind == RouteKind::Stream ? eventStreamHead(request) + eventChunk(1) + "0\r\n\r\n"
+                                              : plainResponse(request, 200, "ok"));
 }
 
 } // namespace
@@ -82,21 +83,16 @@
     const RouteKind kind = GENERATE(RouteKind::Stream, RouteKind::Idempotent, RouteKind::AtMostOnce);
     const bool isDeadlineBeforeEnd = GENERATE(false, true);
     int sends = 0;
-    StoppingInstance *self = nullptr;
-    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+    StoppingInstance instance;
+    instance.addEngines([&](Connection &connection, const std::string &request, int /*number*/) {
         if (++sends > 1) {
-            if (kind == RouteKind::Stream) {
-                respondWithEvent(connection, request);
-            } else {
-                connection.send(plainResponse(request, 200, "ok"));
-            }
+            respond(connection, request, kind);
             return;
         }
-        self->loop.after(answerTime, [stream = connection.stream, refusal = plainResponse(request, 421, {})] {
+        instance.loop.after(answerTime, [stream = connection.stream, refusal = plainResponse(request, 421, {})] {
             stream->write(refusal);
         });
     });
-    self = &instance;
     const auto exchange = instance.begin(kind, isDeadlineBeforeEnd ? "3000" : "15000", "100, 20");
     instance.runUntilAnswered();
     CHECK(sends == (isDeadlineBeforeEnd ? 2 : 1));
@@ -108,17 +104,16 @@
 {
     // Guards against requests that are placed early in a stop, sent late in it and cut at its end.
     const bool isDeadlineBeforeEnd = GENERATE(false, true);
-    StoppingInstance *self = nullptr;
-    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+    StoppingInstance instance;
+    instance.addEngines([&](Connection &connection, const std::string &request, int /*number*/) {
         if (!request.starts_with("POST /order")) {
-            respondWithEvent(connection, request);
+            respond(connection, request, RouteKind::Stream);
             return;
         }
-        self->loop.after(answerTime, [stream = connection.stream] {
+        instance.loop.after(answerTime, [stream = connection.stream] {
             stream->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
         });
     });
-    self = &instance;
     const auto exchange = instance.begin(RouteKind::Stream, isDeadlineBeforeEnd ? "3000" : "15000", "1600, 20");
     instance.runUntilAnswered();
     CHECK(instance.requestCount() == (isDeadlineBeforeEnd ? 1 : 0));
@@ -130,8 +125,9 @@
 {
     // Guards against requests that are placed early in a stop and sent late in it, after a slow connection attempt.
     const bool isDeadlineBeforeEnd = GENERATE(false, true);
-    StoppingInstance instance([](Connection &connection, const std::string &request, int /*number*/) {
-        respondWithEvent(connection, request);
+    StoppingInstance instance;
+    instance.addEngines([](Connection &connection, const std::string &request, int /*number*/) {
+        respond(connection, request, RouteKind::Stream);
     });
     const auto exchange = instance.begin(RouteKind::Stream, isDeadlineBeforeEnd ? "3000" : "15000", "100, 20");
     instance.context.strictAdmissionFrom = instance.loop.now();
@@ -145,21 +141,16 @@
     // Guards against failures of requests that other upstreams can answer in time: what may have run cannot be refused.
     const RouteKind kind = GENERATE(RouteKind::Stream, RouteKind::Idempotent);
     int sends = 0;
-    StoppingInstance *self = nullptr;
-    StoppingInstance instance([&](Connection &connection, const std::string &request, int /*number*/) {
+    StoppingInstance instance;
+    instance.addEngines([&](Connection &connection, const std::string &request, int /*number*/) {
         if (++sends > 1) {
-            if (kind == RouteKind::Stream) {
-                respondWithEvent(connection, request);
-            } else {
-                connection.send(plainResponse(request, 200, "ok"));
-            }
+            respond(connection, request, kind);
             return;
         }
-        self->loop.after(answerTime, [stream = connection.stream] {
+        instance.loop.after(answerTime, [stream = connection.stream] {
             stream->reset();
         });
     });
-    self = &instance;
     const auto exchange = instance.begin(kind, "15000", "100, 20");
     instance.runUntilAnswered();
     CHECK(sends == 2);
